--- /dev/null
+++ b/dogwoodwheel/__init__.py
@@ -0,0 +1,3 @@
+"""Serve rarely used models for small organisations."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/dogwoodwheel/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Keys, rates, bursts and fair queueing of customers."""
--- /dev/null
+++ b/dogwoodwheel/declaration/__init__.py
@@ -0,0 +1,1 @@
+"""Parse, check and compare the operators' text."""
--- /dev/null
+++ b/dogwoodwheel/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Limits, health and orders of endpoint VMs."""
--- /dev/null
+++ b/dogwoodwheel/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/dogwoodwheel/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Entries, their peers and what each one owns."""
--- /dev/null
+++ b/dogwoodwheel/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which endpoint VM holds which model."""
--- /dev/null
+++ b/dogwoodwheel/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs and what they share."""
--- /dev/null
+++ b/dogwoodwheel/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Admit, dispatch and answer callers' requests."""
--- /dev/null
+++ b/dogwoodwheel/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the programs."""
