Add membership, admission and the coordinator's frame

Cause: ownership, configuration and admission need one process a VM. Ruled out: leases ending by clock, a row a partition (docs/design/ MEMBERSHIP.md). Conclusion: not run together yet; the ledger and owners are to come.

--- a/dogwoodwheel/declaration/model.py
+++ b/dogwoodwheel/declaration/model.py
@@ -231,7 +231,10 @@
     classes : dict of str to PriorityClass
     weight_store : WeightStore
     partitions : int
-        Number of partitions of shared rights.
+        Number of partitions of shared rights; taken at the fleet's
+        first start only.
+    vm_list_lag_s : float
+        Longest lag of the platform's list of VMs, seconds.
     """
 
     zones: dict
@@ -243,3 +246,4 @@
     classes: dict
     weight_store: WeightStore = WeightStore()
     partitions: int = 64
+    vm_list_lag_s: float = 15.0
--- /dev/null
+++ b/dogwoodwheel/membership/configuration.py
@@ -0,0 +1,231 @@
+"""The configuration in force at this entry, and how sure that is."""
+
+import math
+import random
+
+from loguru import logger
+import trio
+
+from dogwoodwheel.declaration import parse
+from dogwoodwheel import exceptions
+from dogwoodwheel.platform import objects
+from dogwoodwheel.wire import messages
+
+__all__ = ["Configuration", "STALE_S"]
+
+TABLE = "config"
+CURRENT = "current"
+POLL_S = 0.8
+BEAT_S = 0.8
+BEAT_TIMEOUT_S = 1.5
+BEAT_FANOUT = 7
+STALE_S = 4.0
+
+
+class Configuration:
+    """The newest version that this entry has seen.
+
+    Parameters
+    ----------
+    fleet : dogwoodwheel.membership.fleet.Fleet
+    tbl : dogwoodwheel.platform.table.Table
+    store : dogwoodwheel.platform.objects.Objects
+
+    Notes
+    -----
+    A version is accepted when the row ``config/current`` names it, and
+    that row moves by compare-and-set only.  This entry polls the row and
+    exchanges heartbeats with peers; whoever sees a newer version first
+    tells the others.  The version never goes back here, whatever a read
+    returns.  A poll costs one read; a heartbeat about 200 bytes.
+    """
+
+    def __init__(self, fleet, tbl, store):
+        self.fleet = fleet
+        self.tbl = tbl
+        self.store = store
+        self.version = 0
+        self.digest = ""
+        self.text = ""
+        self.leaving = False
+        self._fresh_at = -math.inf
+        self._reached_at = -math.inf
+        self._heard = {}
+        self._lock = trio.Lock()
+
+    async def run(self):
+        """Poll the row and exchange heartbeats, for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._poll)
+            nursery.start_soon(self._beat)
+
+    def fresh_s(self):
+        """Return the seconds since the version was known the newest.
+
+        Returns
+        -------
+        float
+            ``inf`` where it never was.
+        """
+        return trio.current_time() - self._fresh_at
+
+    def usable_s(self):
+        """Return the age that decides whether keyed work is admitted.
+
+        Notes
+        -----
+        In an outage of the platform no entry hears of a new version, and
+        none can be accepted.  An entry that hears most of the others,
+        none of which reaches the platform, takes that for an outage and
+        goes on; one that hears fewer may be the only one cut off.
+        """
+        age = self.fresh_s()
+        if age <= STALE_S or not self.version:
+            return age
+        now = trio.current_time()
+        names = set(self.fleet.view.entries) | {self.fleet.me}
+        heard = {
+            name
+            for name, at in self._heard.items()
+            if name in names and now - at <= STALE_S
+        }
+        if (len(heard) + 1) * 2 > len(names) and len(names) > 1:
+            return 0.0
+        return age
+
+    def usable(self):
+        """Tell whether keyed work is admitted under this version."""
+        return bool(self.version) and self.usable_s() <= STALE_S
+
+    def message(self, with_text):
+        """Return the `Config` message of this version."""
+        age = self.usable_s()
+        return messages.Config(
+            0,
+            self.version,
+            self.digest,
+            self.text if with_text else "",
+            age if math.isfinite(age) else -1.0,
+            self.leaving,
+        )
+
+    def beat(self):
+        """Return this entry's heartbeat."""
+        age = self.fresh_s()
+        return messages.Beat(
+            0,
+            self.fleet.me,
+            self.fleet.incarnation,
+            self.version,
+            age if math.isfinite(age) else -1.0,
+            self.leaving,
+        )
+
+    async def on_beat(self, msg):
+        """Take a peer's heartbeat and return ours."""
+        if msg.version > self.version:
+            await self._learn(msg.entry)
+        return self.beat()
+
+    async def on_config(self, msg):
+        """Take a peer's version; return ours, with text if it is newer."""
+        if msg.text:
+            self.accept(msg.version, msg.text)
+        return self.message(with_text=self.version > msg.version)
+
+    def accept(self, version, text):
+        """Put a version in force if it is newer than ours.
+
+        Parameters
+        ----------
+        version : int
+        text : str
+
+        Returns
+        -------
+        bool
+            Whether it is in force now.
+        """
+        if version <= self.version:
+            return False
+        try:
+            declaration = parse.parse(text)
+        except exceptions.DeclarationError as exc:
+            # Only a newer or older program can have accepted it.
+            logger.error(
+                "config: version {} is not understood; run one release "
+                "everywhere: {}",
+                version,
+                exc,
+            )
+            return False
+        self.version = version
+        self.text = text
+        self.digest = objects.digest_of(text.encode())
+        self.fleet.update(version=version, declaration=declaration)
+        logger.info("config: version {} is in force", version)
+        return True
+
+    async def poll(self):
+        """Read the row once and follow it.
+
+        Raises
+        ------
+        PlatformError
+        """
+        began = trio.current_time()
+        row = await self.tbl.read(TABLE, CURRENT)
+        self._reached_at = began
+        version = row.value.get("version", 0)
+        if version > self.version:
+            data = await self.store.get(row.value["digest"])
+            if self.accept(version, data.decode()):
+                await self._spread()
+        if version == self.version and version:
+            self._fresh_at = max(self._fresh_at, began)
+
+    async def _poll(self):
+        while True:
+            try:
+                await self.poll()
+            except exceptions.PlatformError as exc:
+                logger.debug("config: not read; {}", exc)
+            await trio.sleep(POLL_S * (0.75 + 0.5 * random.random()))
+
+    async def _beat(self):
+        while True:
+            names = self.fleet.sample(BEAT_FANOUT)
+            async with trio.open_nursery() as nursery:
+                for name in names:
+                    nursery.start_soon(self._exchange, name)
+                await trio.sleep(BEAT_S)
+
+    async def _spread(self):
+        async with trio.open_nursery() as nursery:
+            with trio.move_on_after(BEAT_TIMEOUT_S):
+                for name in self.fleet.sample(BEAT_FANOUT):
+                    nursery.start_soon(self._exchange, name)
+
+    async def _exchange(self, name):
+        began = trio.current_time()
+        try:
+            reply = await self.fleet.call(name, self.beat(), BEAT_TIMEOUT_S)
+        except exceptions.PeerError:
+            return
+        self._heard[name] = began
+        if reply.version > self.version:
+            await self._learn(name)
+        elif reply.version == self.version and reply.fresh_s >= 0:
+            # Counted from before the call, so a slow reply ages it.
+            self._fresh_at = max(self._fresh_at, began - reply.fresh_s)
+
+    async def _learn(self, name):
+        """Fetch a newer version, from a peer that has it."""
+        async with self._lock:
+            ours = self.message(with_text=False)
+            try:
+                reply = await self.fleet.call(name, ours, BEAT_TIMEOUT_S)
+            except exceptions.PeerError:
+                return
+            if reply.text and self.accept(reply.version, reply.text):
+                await self._spread()
--- /dev/null
+++ b/dogwoodwheel/membership/rows.py
@@ -0,0 +1,124 @@
+"""Rows of the platform's table that tell who holds what.
+
+Notes
+-----
+Table ``entries`` has a row for each entry VM, with its heartbeat, its
+address and the partitions that it holds.  Table ``partitions`` has the
+one row ``free``: the partitions that nobody has held yet.  A partition
+moves by one commit that checks and writes both rows it touches, so it
+always stands in exactly one row.
+"""
+
+import dataclasses
+
+from dogwoodwheel.membership import view
+from dogwoodwheel.platform import table
+
+__all__ = [
+    "ENTRIES",
+    "FREE_KEY",
+    "FREE_TABLE",
+    "Free",
+    "entry_of",
+    "free_of",
+    "write_entry",
+    "write_free",
+]
+
+ENTRIES = "entries"
+FREE_TABLE = "partitions"
+FREE_KEY = "free"
+
+
+@dataclasses.dataclass(frozen=True)
+class Free:
+    """Partitions that nobody has held yet.
+
+    Parameters
+    ----------
+    count : int
+        Number of all partitions; 0 before the first entry sets it.
+    shares, holdings : tuple of int
+    row : int
+        Version of the row.
+    """
+
+    count: int = 0
+    shares: tuple = ()
+    holdings: tuple = ()
+    row: int = 0
+
+
+def entry_of(row):
+    """Return the `Entry` of a row.
+
+    Parameters
+    ----------
+    row : dogwoodwheel.platform.table.Row
+
+    Returns
+    -------
+    entry : dogwoodwheel.membership.view.Entry
+    heartbeat : int
+    """
+    value = row.value
+    holdings = {
+        int(part): view.Holding(
+            epoch=epoch,
+            prior=tuple((name, inc) for name, inc in prior),
+        )
+        for part, (epoch, prior) in value["holdings"].items()
+    }
+    entry = view.Entry(
+        name=row.key,
+        zone=value["zone"],
+        incarnation=value["incarnation"],
+        peer=value["peer"],
+        public=tuple(value["public"]),
+        leaving=value["leaving"],
+        shares={int(k): v for k, v in value["shares"].items()},
+        holdings=holdings,
+        row=row.version,
+    )
+    return entry, value["heartbeat"]
+
+
+def write_entry(entry, heartbeat):
+    """Return the write of an entry's row."""
+    value = {
+        "zone": entry.zone,
+        "incarnation": entry.incarnation,
+        "peer": entry.peer,
+        "public": list(entry.public),
+        "leaving": entry.leaving,
+        "heartbeat": heartbeat,
+        "shares": {str(k): v for k, v in entry.shares.items()},
+        "holdings": {
+            str(part): [held.epoch, [list(item) for item in held.prior]]
+            for part, held in entry.holdings.items()
+        },
+    }
+    return table.Write(ENTRIES, entry.name, value)
+
+
+def free_of(row):
+    """Return the `Free` partitions of a row; an absent row has none."""
+    if row.version == 0:
+        return Free()
+    value = row.value
+    return Free(
+        count=value["count"],
+        shares=tuple(value["shares"]),
+        holdings=tuple(value["holdings"]),
+        row=row.version,
+    )
+
+
+def write_free(free):
+    """Return the write of the row of free partitions."""
+    value = {
+        "count": free.count,
+        "shares": list(free.shares),
+        "holdings": list(free.holdings),
+    }
+    return table.Write(FREE_TABLE, FREE_KEY, value)
--- a/dogwoodwheel/membership/view.py
+++ b/dogwoodwheel/membership/view.py
@@ -71,6 +71,8 @@
         Entries whose heartbeat is not overdue and that do not leave.
     leaving : frozenset of str
         Endpoint VMs that the platform's list shows as leaving.
+    partitions : int
+        Number of partitions, set once in the table; 0 before that.
     """
 
     me: str
@@ -79,6 +81,7 @@
     entries: dict = dataclasses.field(default_factory=dict)
     live: frozenset = frozenset()
     leaving: frozenset = frozenset()
+    partitions: int = 0
 
     def holder_of(self, partition):
         """Return the entry that holds a partition of endpoints, or None.
@@ -94,9 +97,9 @@
 
     def owner_of(self, endpoint):
         """Return the owner of an endpoint and its holding, or Nones."""
-        return self.holder_of(
-            partition_of(endpoint, self.declaration.partitions)
-        )
+        if not self.partitions:
+            return None, None
+        return self.holder_of(partition_of(endpoint, self.partitions))
 
     def decider_of(self, model):
         """Return the name of the entry that decides a model's replicas.
--- a/dogwoodwheel/wire/messages.py
+++ b/dogwoodwheel/wire/messages.py
@@ -41,13 +41,24 @@
 
 @dataclasses.dataclass(frozen=True)
 class Hello:
-    """First message on a connection, in both directions."""
+    """First message on a connection, from the side that opened it.
+
+    Parameters
+    ----------
+    id : int
+    role : str
+        ``coordinator``, ``gateway`` or ``operator``.
+    name, zone, incarnation : str
+    address : str
+        ``IP:PORT`` at which callers reach a gateway.
+    """
 
     id: int
     role: str
     name: str
     zone: str
     incarnation: str
+    address: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
