--- a/dogwoodwheel/membership/configuration.py
+++ b/dogwoodwheel/membership/configuration.py
@@ -51,6 +51,7 @@
         self._fresh_at = -math.inf
         self._reached_at = -math.inf
         self._heard = {}
+        self._rejected = 0
         self._lock = trio.Lock()
 
     async def run(self):
@@ -152,6 +153,9 @@
             declaration = parse.parse(text)
         except exceptions.DeclarationError as exc:
             # Only a newer or older program can have accepted it.
+            if version == self._rejected:
+                return False
+            self._rejected = version
             logger.error(
                 "config: version {} is not understood; run one release "
                 "everywhere: {}",
--- a/dogwoodwheel/membership/fleet.py
+++ b/dogwoodwheel/membership/fleet.py
@@ -68,7 +68,12 @@
             If it is unknown or did not reply in time.
         """
         if name == self.me:
-            return await self._local(msg, timeout_s)
+            reply = await self._local(msg, timeout_s)
+            if reply is None:
+                raise exceptions.PeerError(
+                    f"{type(msg).__name__} failed at this entry; retry"
+                )
+            return reply
         return await self.peers.call(self._entry(name), msg, timeout_s)
 
     async def tell(self, name, msg):
--- a/dogwoodwheel/wire/link.py
+++ b/dogwoodwheel/wire/link.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import itertools
-import math
 
 import trio
 
@@ -227,9 +226,7 @@
             await link.run()
             nursery.cancel_scope.cancel()
 
-    listeners = await trio.open_tcp_listeners(
-        int(port), host=host, backlog=math.inf
-    )
+    listeners = await trio.open_tcp_listeners(int(port), host=host)
     async with trio.open_nursery() as nursery:
         await nursery.start(trio.serve_listeners, accept, listeners)
         if task_status is not None:
