Judge rows by version, and name owners once a view

Cause: reading the code against stale scans: an older copy of a row, or a new row that one scan lacks, made a live borrower look gone, so its loan would have been counted as spent twice.

--- a/dogwoodwheel/membership/configuration.py
+++ b/dogwoodwheel/membership/configuration.py
@@ -1,5 +1,6 @@
 """The configuration in force at this entry, and how sure that is."""
 
+import functools
 import math
 import random
 
@@ -122,10 +123,16 @@
             self.leaving,
         )
 
-    async def on_beat(self, msg):
-        """Take a peer's heartbeat and return ours."""
-        if msg.version > self.version:
-            await self._learn(msg.entry)
+    async def on_beat(self, msg, link):
+        """Take a peer's heartbeat and return ours.
+
+        Notes
+        -----
+        A newer version is fetched over the link that told of it, since
+        an entry that starts in an outage knows no other way.
+        """
+        if msg.version > self.version and link is not None:
+            await self._learn(link.call)
         return self.beat()
 
     async def on_config(self, msg):
@@ -221,17 +228,17 @@
             return
         self._heard[name] = began
         if reply.version > self.version:
-            await self._learn(name)
+            await self._learn(functools.partial(self.fleet.call, name))
         elif reply.version == self.version and reply.fresh_s >= 0:
             # Counted from before the call, so a slow reply ages it.
             self._fresh_at = max(self._fresh_at, began - reply.fresh_s)
 
-    async def _learn(self, name):
-        """Fetch a newer version, from a peer that has it."""
+    async def _learn(self, call):
+        """Fetch a newer version from a peer that has it."""
         async with self._lock:
             ours = self.message(with_text=False)
             try:
-                reply = await self.fleet.call(name, ours, BEAT_TIMEOUT_S)
+                reply = await call(ours, BEAT_TIMEOUT_S)
             except exceptions.PeerError:
                 return
             if reply.text and await self.accept(reply.version, reply.text):
--- a/dogwoodwheel/membership/fleet.py
+++ b/dogwoodwheel/membership/fleet.py
@@ -7,6 +7,8 @@
 import trio
 
 from dogwoodwheel import exceptions
+from dogwoodwheel.membership import proof
+from dogwoodwheel.membership import sightings
 
 __all__ = ["Fleet"]
 
@@ -39,7 +41,8 @@
         self.metrics = metrics
         self.peers = None
         self.handle = None
-        self.presence = None
+        self.presence = proof.Presence()
+        self.sightings = sightings.Sightings()
         self._changed = trio.Event()
 
     def route(self, address):
@@ -100,10 +103,10 @@
         Proof is a newer process that took its place, which holds the
         port that the older one needs, or the platform's list of VMs,
         which has lacked the VM for longer than its lag.  The row of an
-        entry is deleted only after such a proof.
+        entry is deleted only after such a proof.  An entry that was
+        never seen is not gone: its row may be newer than our scan.
         """
-        entry = self.view.entries.get(name)
-        if entry is None or entry.incarnation != incarnation:
+        if self.sightings.superseded(name, incarnation):
             return True
         return name != self.me and self.vm_gone(name)
 
--- a/dogwoodwheel/membership/registrar.py
+++ b/dogwoodwheel/membership/registrar.py
@@ -10,6 +10,7 @@
 from dogwoodwheel.membership import assign
 from dogwoodwheel.membership import proof
 from dogwoodwheel.membership import rows
+from dogwoodwheel.membership import sightings
 from dogwoodwheel.membership import view
 from dogwoodwheel.platform import table
 from dogwoodwheel.wire import messages
@@ -88,17 +89,10 @@
                     f"entry {last.name} is registered at {last.peer}; "
                     f"give this VM another name"
                 )
-            mine = dataclasses.replace(
-                mine,
-                shares=last.shares,
-                holdings={
-                    part: view.Holding(
-                        held.epoch + 1, _others(held.prior, last.name)
-                    )
-                    for part, held in last.holdings.items()
-                },
-                row=last.row,
+            self.fleet.incarnation = sightings.next_incarnation(
+                last.incarnation, self.fleet.incarnation.partition(".")[2]
             )
+            mine = _heir(mine, last, self.fleet.incarnation)
         await self._write(mine)
         self.rights.gained(mine.shares, full=False)
         logger.info(
@@ -284,10 +278,9 @@
     async def _scan(self):
         found = await self.tbl.scan(rows.ENTRIES)
         now = trio.current_time()
-        entries = {}
-        for row in found:
-            entry, heartbeat = rows.entry_of(row)
-            entries[entry.name] = entry
+        seen = [rows.entry_of(row) for row in found]
+        entries = self.fleet.sightings.saw(entry for entry, _ in seen)
+        for entry, heartbeat in seen:
             self.beats.saw(entry.name, heartbeat, now)
         self.beats.forget(entries)
         mine = entries.get(self.fleet.me)
@@ -484,6 +477,21 @@
             return False
 
 
+def _heir(mine, last, incarnation):
+    """Return our entry with what the process before us held."""
+    holdings = {
+        part: view.Holding(held.epoch + 1, _others(held.prior, last.name))
+        for part, held in last.holdings.items()
+    }
+    return dataclasses.replace(
+        mine,
+        incarnation=incarnation,
+        shares=last.shares,
+        holdings=holdings,
+        row=last.row,
+    )
+
+
 def _others(prior, name):
     """Return the earlier holders that are not of one entry."""
     return tuple((other, inc) for other, inc in prior if other != name)
--- a/dogwoodwheel/membership/view.py
+++ b/dogwoodwheel/membership/view.py
@@ -1,6 +1,7 @@
 """What an entry knows of the fleet at a moment, as frozen data."""
 
 import dataclasses
+import functools
 import hashlib
 
 __all__ = ["Entry", "Holding", "View", "partition_of", "rank"]
@@ -83,6 +84,24 @@
     leaving: frozenset = frozenset()
     partitions: int = 0
 
+    @functools.cached_property
+    def holders(self):
+        """Entry and `Holding` of each partition of endpoints, a dict.
+
+        Notes
+        -----
+        While a move is seen in one of its two rows only, a partition may
+        stand twice; the newer epoch holds.  Linear in the partitions,
+        once a view.
+        """
+        found = {}
+        for entry in self.entries.values():
+            for part, held in entry.holdings.items():
+                other = found.get(part)
+                if other is None or other[1].epoch < held.epoch:
+                    found[part] = (entry, held)
+        return found
+
     def settled(self):
         """Tell whether requests can be admitted at this entry.
 
@@ -94,10 +113,8 @@
         """
         if not self.version or not self.partitions:
             return False
-        held = {
-            part for entry in self.entries.values() for part in entry.holdings
-        }
-        return self.me in self.entries and len(held) >= self.partitions
+        all_held = len(self.holders) >= self.partitions
+        return self.me in self.entries and all_held
 
     def holder_of(self, partition):
         """Return the entry that holds a partition of endpoints, or None.
@@ -106,10 +123,7 @@
         -------
         (Entry, Holding) or (None, None)
         """
-        for entry in self.entries.values():
-            if partition in entry.holdings:
-                return entry, entry.holdings[partition]
-        return None, None
+        return self.holders.get(partition, (None, None))
 
     def owner_of(self, endpoint):
         """Return the owner of an endpoint and its holding, or Nones."""
--- a/dogwoodwheel/programs/coordinator.py
+++ b/dogwoodwheel/programs/coordinator.py
@@ -17,9 +17,9 @@
 from dogwoodwheel.membership import configuration as configuration_module
 from dogwoodwheel.membership import fleet as fleet_module
 from dogwoodwheel.membership import peers as peers_module
-from dogwoodwheel.membership import proof
 from dogwoodwheel.membership import registrar as registrar_module
 from dogwoodwheel.membership import rights as rights_module
+from dogwoodwheel.membership import sightings
 from dogwoodwheel.membership import view as view_module
 from dogwoodwheel.placement import decider as decider_module
 from dogwoodwheel.placement import loads as loads_module
@@ -79,11 +79,10 @@
         """
         fleet = fleet_module.Fleet(
             cfg,
-            uuid.uuid4().hex,
+            sightings.next_incarnation("", uuid.uuid4().hex),
             view_module.View(cfg.name),
             metrics_module.Metrics(),
         )
-        fleet.presence = proof.Presence()
         tbl = table_module.HttpTable.from_address(cfg.route(cfg.table))
         store = objects_module.HttpObjects.from_address(cfg.route(cfg.objects))
         configuration = configuration_module.Configuration(fleet, tbl, store)
--- a/dogwoodwheel/programs/handlers.py
+++ b/dogwoodwheel/programs/handlers.py
@@ -134,7 +134,7 @@
     if link is not None and link.peer.role == "gateway":
         parts.gateways.on_beat(link, msg)
         return None
-    return await parts.configuration.on_beat(msg)
+    return await parts.configuration.on_beat(msg, link)
 
 
 @answer.register
