--- a/dogwoodwheel/declaration/model.py
+++ b/dogwoodwheel/declaration/model.py
@@ -25,6 +25,7 @@
     ----------
     name : str
     region : str
+        The platform's region that it belongs to.
     state : str
         ``in`` or ``out``; an endpoint VM in a zone that is out receives
         no new work.
@@ -92,7 +93,9 @@
     ----------
     name : str
     service : str
+        Name of the service that runs there.
     zone : str
+        Name of its availability zone.
     address : str
         ``IP:PORT``.
     memory_mb : int
@@ -123,10 +126,13 @@
     ----------
     name : str
     service : str
+        Name of the service whose engines load it.
     version : str
+        Version of its weights; another one is loaded anew.
     size_mb : int
         Memory that a loaded replica takes, megabytes.
     max_replicas : int
+        Most replicas that are loaded at once.
     idle_s : float
         Seconds without a request after which a replica is unloaded.
     """
@@ -141,7 +147,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Adapter:
-    """An adapter, called by its own name, on a base model."""
+    """An adapter, called by its own name, on a base model.
+
+    Parameters
+    ----------
+    name : str
+    base : str
+        Name of the model that it adapts.
+    version : str
+        Version of its weights; another one is loaded anew.
+    size_mb : int
+        Memory that it takes beside its base, megabytes.
+    """
 
     name: str
     base: str
@@ -184,6 +201,7 @@
     priority : str
         Name of the priority class of a request that names none.
     keys : tuple of Key
+        Salted hashes of its keys; see ``dogwoodwheel key issue``.
     """
 
     name: str
@@ -196,7 +214,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class PriorityClass:
-    """A class of requests inside a customer; a lower rank goes first."""
+    """A class of requests inside a customer.
+
+    Parameters
+    ----------
+    name : str
+    rank : int
+        A lower rank goes first.
+    """
 
     name: str
     rank: int
@@ -209,6 +234,7 @@
     Parameters
     ----------
     loads_per_s : float
+        Loads that may begin in a second, over the whole fleet.
     parallel_loads : int
         Loads at once at full speed.
     parallel_adapters : int
--- a/dogwoodwheel/engines/exchange.py
+++ b/dogwoodwheel/engines/exchange.py
@@ -10,13 +10,14 @@
 
 import contextlib
 import dataclasses
+import math
 
 import httpcore
 import trio
 
 from dogwoodwheel import exceptions
 
-__all__ = ["Exchanges", "Reply", "Request", "is_late"]
+__all__ = ["IDLE_TIMEOUT_S", "Exchanges", "Reply", "Request", "is_late"]
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 30.0
@@ -82,13 +83,14 @@
         on_drained : callable, optional
             ``await on_drained()`` is called whenever all that has come
             was yielded and more must be awaited, so that parts which
-            came together may be passed on together at no delay.
+            came together may be passed on together at no delay.  Who
+            gives it bounds the wait by a scope of his own.
 
         Raises
         ------
         ReplyError
-            If the body is shorter than declared, malformed, or nothing
-            came for `IDLE_TIMEOUT_S`.
+            If the body is shorter than declared or malformed, or,
+            without ``on_drained``, nothing came for `IDLE_TIMEOUT_S`.
         """
         self._wire.on_drained = on_drained
         try:
@@ -181,7 +183,7 @@
 
     Parameters
     ----------
-    stream : httpcore.AsyncNetworkStream
+    stream : trio.SocketStream
     """
 
     def __init__(self, stream):
@@ -189,28 +191,60 @@
         self.on_drained = None
 
     async def read(self, max_bytes, timeout=None):
-        if self.on_drained is not None:
-            await self.on_drained()
-        return await self._stream.read(max_bytes, timeout)
+        if self.on_drained is None:
+            return await self._read_within(max_bytes, timeout)
+        await self.on_drained()
+        # A scope for each read would cost a fifth of a chunk's time, and
+        # so would trying first what has just been found drained.
+        await trio.lowlevel.wait_readable(self._stream.socket)
+        return await self._read(max_bytes)
 
     async def write(self, buffer, timeout=None):
-        await self._stream.write(buffer, timeout)
+        if not buffer:
+            return
+        try:
+            with trio.fail_after(math.inf if timeout is None else timeout):
+                await self._stream.send_all(buffer)
+        except trio.TooSlowError as exc:
+            raise httpcore.WriteTimeout(exc) from exc
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise httpcore.WriteError(exc) from exc
 
     async def aclose(self):
         await self._stream.aclose()
 
     def get_extra_info(self, info):
-        return self._stream.get_extra_info(info)
+        if info == "is_readable":
+            return self._stream.socket.is_readable()
+        return None
+
+    async def _read_within(self, max_bytes, timeout):
+        try:
+            with trio.fail_after(math.inf if timeout is None else timeout):
+                return await self._read(max_bytes)
+        except trio.TooSlowError as exc:
+            raise httpcore.ReadTimeout(exc) from exc
+
+    async def _read(self, max_bytes):
+        try:
+            return await self._stream.receive_some(max_bytes)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise httpcore.ReadError(exc) from exc
 
 
 class Backend(httpcore.AsyncNetworkBackend):
     """Connections as `Wire`."""
 
-    def __init__(self):
-        self._backend = httpcore.TrioBackend()
-
-    async def connect_tcp(self, host, port, **kwargs):
-        return Wire(await self._backend.connect_tcp(host, port, **kwargs))
+    async def connect_tcp(
+        self, host, port, timeout=None, local_address=None, socket_options=None
+    ):
+        try:
+            with trio.fail_after(math.inf if timeout is None else timeout):
+                return Wire(await trio.open_tcp_stream(host, port))
+        except trio.TooSlowError as exc:
+            raise httpcore.ConnectTimeout(exc) from exc
+        except OSError as exc:
+            raise httpcore.ConnectError(exc) from exc
 
     async def sleep(self, seconds):
         await trio.sleep(seconds)
--- a/dogwoodwheel/placement/decider.py
+++ b/dogwoodwheel/placement/decider.py
@@ -1,4 +1,4 @@
-"""Decides the replicas of models."""
+"""Decides where the replicas of models are."""
 
 import dataclasses
 import math
@@ -8,18 +8,20 @@
 import trio
 
 from dogwoodwheel import exceptions
-from dogwoodwheel.placement import choice
 from dogwoodwheel.placement import idle
+from dogwoodwheel.placement import placer
 from dogwoodwheel.placement import records
+from dogwoodwheel.placement import upkeep
 from dogwoodwheel.wire import messages
 
 __all__ = ["Decider"]
 
 FRESH_S = 1.0
-DECIDE_S = 5.0
+ANSWER_S = 2.0
+DECIDE_S = 30.0
+PATIENCE_S = 1.5
+OUT_S = 1.0
 JITTER_S = 0.05
-TRIES = 6
-TICK_S = 1.0
 WAIT_S = 0.1
 RETRY_AFTER_S = 2.0
 SPARE_PART = 0.1
@@ -27,14 +29,30 @@
 
 @dataclasses.dataclass(frozen=True)
 class Known:
-    """A model's row as read last."""
+    """What was read last of a model.
+
+    Parameters
+    ----------
+    record : dogwoodwheel.placement.records.ModelRecord
+    good : tuple of str
+        Endpoints where it is decided and is not to be unloaded.
+    read_at : float
+        Seconds, trio's clock.
+    """
 
     record: records.ModelRecord
+    good: tuple
     read_at: float
 
 
 class Flight:
-    """One decision that several requests wait for."""
+    """One decision that several requests wait for.
+
+    Attributes
+    ----------
+    result : tuple of str, messages.Refusal or None
+        Endpoints, best first.
+    """
 
     def __init__(self):
         self.result = None
@@ -52,11 +70,14 @@
 
     Notes
     -----
-    Requests for one model that come together share one decision.  The
-    versions of both rows keep two entries that both take themselves for
-    the decider from deciding twice.  A row that was read within
-    `FRESH_S` is used again; in an outage of the platform any row read
-    before is, so that what was decided goes on.
+    Requests for one model that come together share one decision, which
+    goes on when those that asked have given up.  The versions of both
+    rows keep two entries that both take themselves for the decider from
+    deciding twice.
+
+    What is known of a model is answered at once and read anew behind
+    the answer, so neither a slow platform nor an outage holds up a
+    model that is decided; an owner refuses what is no longer so.
     """
 
     def __init__(self, fleet, table, rng=None):
@@ -64,18 +85,19 @@
         self.table = table
         self.rng = rng or random.Random()
         self.usages = idle.Usages()
-        self._known = {}
+        self.placer = placer.Placer(fleet, table)
+        self.known = {}
         self._flights = {}
+        self._out_until = -math.inf
+        self._nursery = None
+        self._started = trio.Event()
 
     async def run(self):
-        """Unload idle replicas and add busy ones, until cancelled."""
-        while True:
-            await trio.sleep(TICK_S * self.rng.uniform(0.8, 1.2))
-            try:
-                await self._unload_idle()
-                await self._add_busy()
-            except exceptions.PlatformError as exc:
-                logger.warning("placement: not recorded: {}", exc)
+        """Decide, and look after what is decided, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._started.set()
+            nursery.start_soon(upkeep.Upkeep(self).run)
 
     async def ensure(self, ask):
         """Return endpoints that hold or load a model.
@@ -87,26 +109,31 @@
         Returns
         -------
         messages.Ensured or messages.Refusal
+            Within `ANSWER_S`; a refusal as ``endpoint_unavailable`` may
+            be asked again at once.
         """
-        model = self._model(ask.model)
-        if model is None:
+        if self.model(ask.model) is None:
             return _refusal(
                 "unknown_model",
                 f"{ask.model} is not declared; see GET /v1/models",
                 status=404,
             )
-        known = self._fresh(ask)
-        if known is not None:
-            return known
+        good = self._known_good(ask)
+        if good:
+            self._refresh(ask)
+            return self._ensured(ask, good)
         left_s = ask.deadline_s * (1 - SPARE_PART)
-        with trio.move_on_after(max(left_s, 0)):
-            return await self._shared(ask, model)
-        return _refusal(
-            "deadline",
-            f"no place for {ask.model} within the deadline; try again",
-            status=504,
-            retry_after_s=RETRY_AFTER_S,
-        )
+        result = None
+        with trio.move_on_after(max(0.0, min(left_s, ANSWER_S))):
+            await self._started.wait()
+            flight = self._flight(ask)
+            await flight.ended.wait()
+            result = flight.result
+        if isinstance(result, messages.Refusal):
+            return result
+        if result:
+            return self._ensured(ask, result)
+        return self._undecided(ask)
 
     async def touch(self, msg):
         """Learn how much a replica is used."""
@@ -122,269 +149,213 @@
         record = await records.read_model(self.table, model)
         return record.endpoints
 
-    def _model(self, name):
-        """Return what to place: an adapter looks like a small model."""
+    def model(self, name):
+        """Return what to place, or None where it is not declared.
+
+        Notes
+        -----
+        An adapter takes the form of a small model with as many replicas
+        as its base.
+        """
         declaration = self.fleet.view.declaration
         if declaration is None:
             return None
         adapter = declaration.adapters.get(name)
         if adapter is None:
             return declaration.models.get(name)
-        base = declaration.models[adapter.base]
         return dataclasses.replace(
-            base,
+            declaration.models[adapter.base],
             name=name,
             version=adapter.version,
             size_mb=adapter.size_mb,
         )
 
-    def _base(self, name):
+    def base(self, name):
+        """Return the base model of an adapter; empty for a model."""
         adapter = self.fleet.view.declaration.adapters.get(name)
         return adapter.base if adapter else ""
 
-    def _fresh(self, ask):
-        known = self._known.get(ask.model)
-        if known is None or ask.avoid:
-            return None
-        if trio.current_time() - known.read_at > FRESH_S:
-            return None
-        return self._ensured(ask, known.record)
+    def usable(self, name):
+        """Tell whether an endpoint may receive new work."""
+        view = self.fleet.view
+        endpoint = view.declaration.endpoints.get(name)
+        return endpoint is not None and view.usable(endpoint)
 
-    def _ensured(self, ask, record):
-        """Return the usable endpoints of a row, or None without one."""
-        names = [name for name in record.endpoints if self._usable(name)]
-        if not names:
-            return None
-        names.sort(
+    async def read(self, name):
+        """Read a model's rows.
+
+        Returns
+        -------
+        known : Known
+        down : set of str
+            Endpoints of the model that do not answer.
+
+        Raises
+        ------
+        PlatformError
+        """
+        model = self.model(name)
+        read_at = trio.current_time()
+        record = await records.read_model(self.table, name)
+        good = []
+        down = set()
+        for endpoint in filter(self.usable, record.endpoints):
+            row = await records.read_endpoint(self.table, endpoint)
+            if row.down:
+                down.add(endpoint)
+            replica = row.replicas.get(name)
+            if replica is None or replica.state == records.UNLOAD:
+                continue
+            if model is None or replica.version == model.version:
+                good.append(endpoint)
+        good.sort(key=lambda endpoint: endpoint in down)
+        self.known[name] = Known(record, tuple(good), read_at)
+        return self.known[name], down
+
+    def _known_good(self, ask):
+        known = self.known.get(ask.model)
+        if known is None:
+            return ()
+        good = tuple(filter(self.usable, known.good))
+        return good if set(good) - set(ask.avoid) else ()
+
+    def _refresh(self, ask):
+        known = self.known[ask.model]
+        now = trio.current_time()
+        old = now - known.read_at > FRESH_S
+        if old and now > self._out_until and self._nursery is not None:
+            self._flight(ask)
+
+    def _ensured(self, ask, names):
+        ordered = sorted(
+            names,
             key=lambda name: (
                 name in ask.avoid,
                 self.usages.waiting(ask.model, name),
-            )
+            ),
         )
-        return messages.Ensured(0, tuple(names))
+        return messages.Ensured(0, tuple(ordered))
 
-    def _usable(self, name):
-        view = self.fleet.view
-        endpoint = view.declaration.endpoints.get(name)
-        return endpoint is not None and view.usable(endpoint)
+    def _undecided(self, ask):
+        if trio.current_time() < self._out_until:
+            return self._without_platform(ask.model)
+        return _refusal(
+            "endpoint_unavailable",
+            f"no place for {ask.model} yet; try again",
+            retry_after_s=RETRY_AFTER_S,
+        )
 
-    async def _shared(self, ask, model):
-        while True:
-            flight = self._flights.get(ask.model)
-            if flight is None:
-                return await self._lead(ask, model)
-            await flight.ended.wait()
-            if flight.result is not None:
-                return flight.result
+    def _flight(self, ask):
+        flight = self._flights.get(ask.model)
+        if flight is None:
+            flight = self._flights[ask.model] = Flight()
+            self._nursery.start_soon(self._fly, flight, ask)
+        return flight
 
-    async def _lead(self, ask, model):
-        flight = self._flights[ask.model] = Flight()
+    async def _fly(self, flight, ask):
         try:
-            flight.result = await self._decide(ask, model)
-            return flight.result
+            with trio.move_on_after(DECIDE_S):
+                flight.result = await self._decide(ask)
         finally:
             del self._flights[ask.model]
             flight.ended.set()
 
-    async def _decide(self, ask, model):
-        base = self._base(ask.model)
-        hosts = None
-        if base:
-            reply = await self._ensure_base(ask, base)
-            if isinstance(reply, messages.Refusal):
-                return reply
-            hosts = reply.endpoints
-        for _ in range(TRIES):
+    async def _decide(self, ask):
+        """Return endpoints or a refusal, however long that takes.
+
+        Notes
+        -----
+        A platform that was just found to be out is not tried again and
+        again: the refusal is then prompt.
+        """
+        now = trio.current_time()
+        until = now + (0.0 if now < self._out_until else PATIENCE_S)
+        pause_s = JITTER_S
+        while True:
             try:
-                result = await self._attempt(ask, model, base, hosts)
+                with trio.fail_after(ANSWER_S * 3):
+                    result = await self._attempt(ask)
                 if result is not None:
                     return result
+                await trio.sleep(WAIT_S * self.rng.uniform(0.5, 1.5))
             except exceptions.ConflictError:
                 self.fleet.metrics.conflicted()
                 await trio.sleep(self.rng.uniform(0, JITTER_S))
-            except exceptions.PlatformError:
-                return self._without_platform(ask)
-        return _refusal(
-            "busy",
-            f"the place of {ask.model} changes too often; try again",
-            retry_after_s=RETRY_AFTER_S,
+            except (exceptions.PlatformError, trio.TooSlowError) as exc:
+                logger.warning("placement: platform is out: {}", exc)
+                good = self._known_good(ask)
+                if good:
+                    return good
+                if trio.current_time() + pause_s > until:
+                    self._out_until = trio.current_time() + OUT_S
+                    return self._without_platform(ask.model)
+                await trio.sleep(pause_s * self.rng.uniform(0.5, 1.5))
+                pause_s *= 2
+
+    async def _attempt(self, ask):
+        """Return endpoints or a refusal; None to try again later."""
+        model = self.model(ask.model)
+        if model is None:
+            return _refusal("unknown_model", f"{ask.model} was removed")
+        base = self.base(ask.model)
+        hosts = None
+        if base:
+            reply = await self._ensure_base(ask, base)
+            if isinstance(reply, messages.Refusal):
+                return reply
+            hosts = reply.endpoints
+        known, down = await self.read(ask.model)
+        good = known.good
+        if set(good) - set(ask.avoid) - down:
+            return good
+        open_ = [n for n in known.record.endpoints if self.usable(n)]
+        if len(set(open_) - down) < model.max_replicas:
+            record = await self.placer.add(model, base, hosts, known.record)
+            if record is not None:
+                good = (record.endpoints[-1], *good)
+                now = trio.current_time()
+                self.known[ask.model] = Known(record, good, now)
+                return good
+        if good:
+            return good
+        if not open_ and not self._possible(model):
+            return _refusal(
+                "no_memory",
+                f"no endpoint in use is large enough for {model.name}; "
+                f"add one, or take a zone in",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return None
+
+    def _possible(self, model):
+        """Tell whether an endpoint could hold a model if it were empty."""
+        return any(
+            endpoint.service == model.service
+            and endpoint.memory_mb >= model.size_mb
+            and self.usable(endpoint.name)
+            for endpoint in self.fleet.view.declaration.endpoints.values()
         )
 
     async def _ensure_base(self, ask, base):
         decider = self.fleet.view.decider_of(base)
         msg = messages.Ensure(0, base, ask.deadline_s, ask.avoid)
         try:
-            return await self.fleet.call(decider, msg, ask.deadline_s)
+            return await self.fleet.call(decider, msg, 2 * ANSWER_S)
         except exceptions.PeerError:
             return _refusal(
-                "busy",
+                "endpoint_unavailable",
                 f"the decider of {base} does not answer; try again",
                 retry_after_s=RETRY_AFTER_S,
             )
 
-    async def _attempt(self, ask, model, base, hosts):
-        """Read the rows and answer; None to read them anew."""
-        record = await self._read(ask.model)
-        open_ = [name for name in record.endpoints if self._usable(name)]
-        found = await self._records(record)
-        good = [n for n in open_ if self._decided_at(found, n, model)]
-        eager = [name for name in good if name not in ask.avoid]
-        if eager:
-            return self._ensured(
-                ask, dataclasses.replace(record, endpoints=tuple(good))
-            )
-        counted = [n for n in open_ if not found[n].down]
-        if len(counted) < model.max_replicas:
-            added = await self._add(model, base, hosts, record)
-            if added is not None:
-                return added
-        if good:
-            return self._ensured(
-                ask, dataclasses.replace(record, endpoints=tuple(good))
-            )
-        if counted:
-            # Being unloaded; decide again once that is confirmed.
-            await trio.sleep(WAIT_S)
-            return await self._attempt(ask, model, base, hosts)
-        return _refusal(
-            "no_memory",
-            f"no endpoint has memory for {model.name}; try again later",
-            retry_after_s=RETRY_AFTER_S,
-        )
-
-    async def _records(self, record):
-        found = {}
-        for name in record.endpoints:
-            found[name] = await records.read_endpoint(self.table, name)
-        return found
-
-    def _decided_at(self, found, name, model):
-        replica = found[name].replicas.get(model.name)
-        return replica is not None and replica.state != records.UNLOAD
-
-    async def _add(self, model, base, hosts, record):
-        """Decide one more replica; None where no endpoint takes it."""
-        view = self.fleet.view
-        found = await records.scan_endpoints(self.table)
-        endpoints = view.declaration.endpoints
-        if hosts is not None:
-            endpoints = {n: endpoints[n] for n in hosts if n in endpoints}
-        candidates = choice.endpoints_for(
-            model, endpoints, found, self._orderable, record.endpoints
-        )
-        for candidate in candidates:
-            row = found.get(candidate.name)
-            row = row or records.EndpointRecord(candidate.name)
-            endpoint = endpoints[candidate.name]
-            memory_mb = endpoint.memory_mb
-            fits = row.reserved_mb + model.size_mb <= memory_mb
-            replica = records.Replica(
-                name=model.name,
-                version=model.version,
-                memory_mb=model.size_mb,
-                state=records.LOAD if fits else records.WANT,
-                base=base,
-            )
-            if base and base not in row.replicas:
-                continue
-            record, _ = await records.add(
-                self.table, record, row, replica, memory_mb
-            )
-            logger.info(
-                "placement: decided model={} endpoint={}",
-                model.name,
-                candidate.name,
-            )
-            self.fleet.metrics.decided()
-            self._remember(record)
-            await self._nudge(candidate.name)
-            return messages.Ensured(0, (candidate.name,))
-        return None
-
-    def _orderable(self, endpoint):
-        """Tell whether an endpoint may get work, and soon orders too."""
-        view = self.fleet.view
-        if not self._usable(endpoint.name):
-            return False
-        entry, holding = view.owner_of(endpoint.name)
-        if entry is None:
-            return False
-        return endpoint.fencing or not holding.prior
-
-    async def _nudge(self, endpoint):
-        """Tell the owner that its record changed."""
-        entry, _ = self.fleet.view.owner_of(endpoint)
-        if entry is not None:
-            await self.fleet.tell(entry.name, messages.Nudge(0, endpoint))
-
-    async def _read(self, model):
-        record = await records.read_model(self.table, model)
-        self._remember(record)
-        return record
-
-    def _remember(self, record):
-        self._known[record.name] = Known(record, trio.current_time())
-
-    def _without_platform(self, ask):
-        known = self._known.get(ask.model)
-        if known is not None:
-            result = self._ensured(ask, known.record)
-            if result is not None:
-                return result
+    def _without_platform(self, model):
         return _refusal(
             "platform_unavailable",
-            f"{ask.model} is not loaded and its load cannot be recorded "
+            f"{model} is not loaded, and its load cannot be recorded "
             f"while the platform is out; try again later",
             retry_after_s=RETRY_AFTER_S,
         )
 
-    async def _unload_idle(self):
-        now = trio.current_time()
-        self.usages.expire(now)
-        for model, endpoint in self.usages.idle(now, self._idle_s):
-            await self._unload(model, endpoint)
-
-    def _idle_s(self, name):
-        model = self._model(name)
-        return model.idle_s if model else None
-
-    async def _unload(self, model, endpoint):
-        record = await records.read_endpoint(self.table, endpoint)
-        replica = record.replicas.get(model)
-        self.usages.forget(model, endpoint)
-        if replica is None or replica.state == records.UNLOAD:
-            return
-        declared = self.fleet.view.declaration.endpoints.get(endpoint)
-        memory_mb = declared.memory_mb if declared else math.inf
-        marked = record.marked(model, records.UNLOAD)
-        try:
-            await records.save(self.table, marked, memory_mb)
-        except exceptions.ConflictError:
-            return
-        self._known.pop(model, None)
-        logger.info("placement: idle model={} endpoint={}", model, endpoint)
-        await self._nudge(endpoint)
-
-    async def _add_busy(self):
-        view = self.fleet.view
-        for name, known in list(self._known.items()):
-            model = self._model(name)
-            endpoints = known.record.endpoints
-            if model is None or not endpoints or self._base(name):
-                continue
-            if len(endpoints) >= model.max_replicas:
-                continue
-            busy = all(
-                self.usages.waiting(name, endpoint)
-                > view.declaration.endpoints[endpoint].concurrency
-                for endpoint in endpoints
-                if endpoint in view.declaration.endpoints
-            )
-            if busy and name not in self._flights:
-                record = await self._read(name)
-                if len(record.endpoints) < model.max_replicas:
-                    await self._add(model, "", None, record)
-
 
 def _refusal(code, message, status=503, retry_after_s=0.0):
     return messages.Refusal(
--- a/dogwoodwheel/programs/cli_changes.py
+++ b/dogwoodwheel/programs/cli_changes.py
@@ -125,7 +125,7 @@
 
 def _lines(data, extra):
     lines = [f"{name}: {value}" for name, value in extra.items()]
-    lines += data["changes"] or ["nothing to change"]
+    lines += data["changes"]
     lines.append(f"version {data['version']} is accepted")
     if data["in_force"]:
         lines.append(f"in force at {data['entries']} entries")
--- a/dogwoodwheel/programs/cli_common.py
+++ b/dogwoodwheel/programs/cli_common.py
@@ -109,7 +109,7 @@
     options : Options
     """
     try:
-        return trio.run(command, options, *args, strict_exception_groups=False)
+        return trio.run(command, options, *args)
     except exceptions.DogwoodwheelError as exc:
         code = exit_code(exc)
         cli_show.error(exc, code, options.json)
--- a/dogwoodwheel/programs/coordinator.py
+++ b/dogwoodwheel/programs/coordinator.py
@@ -32,6 +32,7 @@
 from dogwoodwheel.programs import logs
 from dogwoodwheel.programs import metrics as metrics_module
 from dogwoodwheel.programs import report
+from dogwoodwheel.programs import running
 from dogwoodwheel.programs import settings as settings_module
 from dogwoodwheel.requests import admission as admission_module
 from dogwoodwheel.requests import inflight
@@ -128,10 +129,7 @@
     except exceptions.SettingsError as exc:
         sys.exit(f"dogwoodwheel-coordinator: {exc}")
     logs.set_up(cfg.log_format, cfg.log_level, "coordinator", cfg.name)
-    try:
-        trio.run(serve, cfg, strict_exception_groups=False)
-    except (exceptions.SettingsError, OSError) as exc:
-        sys.exit(f"dogwoodwheel-coordinator: {exc}")
+    running.run("dogwoodwheel-coordinator", serve, cfg)
 
 
 async def serve(cfg):
--- a/dogwoodwheel/programs/report.py
+++ b/dogwoodwheel/programs/report.py
@@ -47,7 +47,7 @@
     """Return each customer's tokens at this entry, by name."""
     return {
         state.customer: dataclasses.asdict(state)
-        for state in parts.ledger.states()
+        for state in parts.ledger.accounts.states()
     }
 
 
--- a/dogwoodwheel/requests/attempts.py
+++ b/dogwoodwheel/requests/attempts.py
@@ -161,7 +161,8 @@
     if reply.status != OK:
         return await _model_error(reply)
     if call.stream:
-        return await _receive_stream(reply, delivery.relay)
+        idle_s = min(exchange.IDLE_TIMEOUT_S, call.service.deadline_s)
+        return await _receive_stream(reply, delivery.relay, idle_s)
     body = await _whole(reply, MAX_REPLY_BYTES)
     try:
         usage = json.loads(body).get("usage") or {}
@@ -171,7 +172,7 @@
     return Served(callers.Answer(OK, JSON_HEADERS, body), output)
 
 
-async def _receive_stream(reply, relay):
+async def _receive_stream(reply, relay, idle_s):
     if relay.tokens:
         resumed = reply.header(RESUMED_HEADER)
         if resumed != str(relay.tokens).encode():
@@ -183,10 +184,10 @@
 
         async def flush():
             await relay.flush()
-            if relay.ended:
-                # The end of the reply mostly came along; else the
-                # connection is not worth a wait.
-                scope.deadline = trio.current_time() + TAIL_S
+            # Once it has ended, the end of the reply mostly came along;
+            # else the connection is not worth a wait.
+            wait_s = TAIL_S if relay.ended else idle_s
+            scope.deadline = trio.current_time() + wait_s
 
         async for part in reply.parts(on_drained=flush):
             relay.feed(part)
@@ -194,6 +195,8 @@
             await relay.flush()
     if relay.ended:
         return Served(output=relay.output)
+    if scope.cancelled_caught:
+        return Failed(messages.UNKNOWN, "late", "the stream stood still")
     return Failed(
         messages.UNKNOWN, "reset", "the stream ended without its end mark"
     )
--- a/dogwoodwheel/wire/link.py
+++ b/dogwoodwheel/wire/link.py
@@ -3,6 +3,7 @@
 import dataclasses
 import itertools
 
+from loguru import logger
 import trio
 
 from dogwoodwheel import exceptions
@@ -138,14 +139,16 @@
                 self._waiting[msg.id].send_nowait(msg)
 
     async def _answer(self, msg):
-        result = await self.handle(msg, self)
-        if result is None:
-            return
-        result = dataclasses.replace(result, id=msg.id)
         try:
-            await self.send(result, reply=True)
+            result = await self.handle(msg, self)
+            if result is not None:
+                result = dataclasses.replace(result, id=msg.id)
+                await self.send(result, reply=True)
         except exceptions.PeerError:
             return
+        except Exception:
+            # A fault in one answer must not end the other ones.
+            logger.exception("wire: {} not answered", type(msg).__name__)
 
     async def _exactly(self, size):
         data = bytearray()
--- a/features/fleet.py
+++ b/features/fleet.py
@@ -1,5 +1,6 @@
 """A fleet of real processes on loopback addresses, for tests."""
 
+import atexit
 import hashlib
 import itertools
 import json
@@ -58,6 +59,7 @@
         self.proxy = None
         self.proxy_host = self._host()
         self.version = 0
+        atexit.register(self.stop)
         self.platform_address, self.platform = self._stand_in(PLATFORM, [])
 
     def add_engine(
@@ -220,6 +222,7 @@
         for proc in reversed(self.procs):
             proc.kill()
         shutil.rmtree(self.dir, ignore_errors=True)
+        atexit.unregister(self.stop)
 
     def _host(self):
         return _host(next(self.hosts))
--- a/features/sharing_model.py
+++ b/features/sharing_model.py
@@ -255,7 +255,9 @@
 
     def refundable(self, spent):
         """Return what an open charge may still give back."""
-        return self.bucket(spent.entry).charges[spent.number].refundable
+        bucket = self.bucket(spent.entry)
+        bucket.refill(self.now)
+        return bucket.charges[spent.number].refundable
 
     def spendable(self, refunds=0.0):
         """Return the tokens that may be spent at this moment."""
--- a/features/standins/history.py
+++ b/features/standins/history.py
@@ -2,7 +2,7 @@
 
 import time
 
-__all__ = ["History", "most_loaded"]
+__all__ = ["History", "most_loaded", "overshoot"]
 
 EVENTS = 500_000
 BEGIN_EVENTS = ("load",)
@@ -21,6 +21,11 @@
         event = {"time": time.monotonic(), "kind": kind, **fields}
         if len(self.events) < EVENTS:
             self.events.append(event)
+        elif len(self.events) == EVENTS:
+            # A test must not pass on a history that lacks its end.
+            full = {"time": event["time"], "kind": "history_full"}
+            self.events.append(full)
+            self.violations.append(full)
         return event
 
     def violate(self, kind, **fields):
@@ -62,3 +67,34 @@
         now += step
         most = max(most, now)
     return most
+
+
+def overshoot(charges, rate, burst):
+    """Return by how much the worst window passes rate x time + burst.
+
+    Parameters
+    ----------
+    charges : sequence of (float, float)
+        Time in seconds and tokens of each request.
+    rate : float
+        Tokens a second.
+    burst : float
+        Tokens.
+
+    Examples
+    --------
+    >>> overshoot([(0.0, 5), (1.0, 5)], rate=1, burst=5)
+    4.0
+    >>> overshoot([(0.0, 5), (5.0, 5)], rate=1, burst=5)
+    0.0
+    """
+    level = float(burst)
+    worst = 0.0
+    last = None
+    for now, tokens in sorted(charges):
+        if last is not None:
+            level = min(burst, level + rate * (now - last))
+        last = now
+        level -= tokens
+        worst = max(worst, -level)
+    return worst
--- a/features/standins/machines.py
+++ b/features/standins/machines.py
@@ -10,7 +10,7 @@
 
 OK = 200
 START_S = 30.0
-STOP_S = 15.0
+STOP_S = 30.0
 TIMEOUT_S = 5.0
 
 
@@ -126,10 +126,11 @@
         )
 
     def stop(self):
-        """Stop gateways, then the coordinator; return the exit codes."""
-        for proc in reversed(self.procs):
+        """Stop all at once by SIGTERM; return the exit codes."""
+        for proc in self.procs:
+            proc.resume()
             proc.terminate()
-        return [proc.stop(STOP_S) for proc in reversed(self.procs)]
+        return [proc.finish(STOP_S) for proc in self.procs]
 
     def kill(self):
         """Kill all of its processes."""
--- a/features/standins/process.py
+++ b/features/standins/process.py
@@ -102,11 +102,15 @@
         return self.popen.wait(timeout_s)
 
     def stop(self, timeout_s=STOP_S):
-        """End it by SIGTERM; return its exit code, or None where it hung."""
+        """End it by SIGTERM; return as `finish`."""
         if self.popen is None:
             return None
         self.resume()
         self.terminate()
+        return self.finish(timeout_s)
+
+    def finish(self, timeout_s=STOP_S):
+        """Wait for its end; return its exit code, or None where it hung."""
         try:
             return self.wait(timeout_s)
         except subprocess.TimeoutExpired:
--- a/features/standins/server.py
+++ b/features/standins/server.py
@@ -10,6 +10,7 @@
 __all__ = ["Exchange", "Server", "reset"]
 
 CHUNK_BYTES = 65536
+BAD_REQUEST = 400
 BODY_BYTES = 64 * 1024 * 1024
 LINGER_OFF = struct.pack("ii", 1, 0)
 
@@ -172,6 +173,7 @@
         except* (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
+            h11.LocalProtocolError,
         ):
             exchange.closed = True
         if exchange.gone and self.server.on_gone is not None:
@@ -181,6 +183,8 @@
     async def _idle(self):
         if self.conn.trailing_data[0]:
             return
+        if self.stream.socket.fileno() < 0:
+            raise trio.ClosedResourceError
         await trio.lowlevel.wait_readable(self.stream.socket)
         if self.server.close_before_read > 0:
             self.server.close_before_read -= 1
@@ -214,9 +218,17 @@
     async def _watched(self, exchange):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch, exchange, nursery.cancel_scope)
-            await self.server.handle(exchange)
+            await self._handle(exchange)
             nursery.cancel_scope.cancel()
 
+    async def _handle(self, exchange):
+        try:
+            await self.server.handle(exchange)
+        except (AttributeError, KeyError, TypeError, ValueError) as exc:
+            if self.conn.our_state is not h11.SEND_RESPONSE:
+                raise
+            await exchange.reply(BAD_REQUEST, {"error": repr(exc)})
+
     async def _watch(self, exchange, scope):
         while True:
             try:
--- a/features/standins/shapes.py
+++ b/features/standins/shapes.py
@@ -5,6 +5,7 @@
 
 __all__ = ["Shape", "error"]
 
+MARK = "@token@"
 DONE = b"data: [DONE]\n\n"
 
 
@@ -42,6 +43,9 @@
             "created": int(time.time()),
             "model": body["model"],
         }
+        # Tokens are plain words, which need no escapes in JSON.
+        chunk = self._chunk({"content": MARK}, None)
+        self.before, self.after = chunk.split(MARK.encode())
 
     def whole(self, answer):
         """Return the JSON of a whole reply."""
@@ -74,7 +78,7 @@
 
     def token(self, token):
         """Return the chunk of one token."""
-        return self._chunk({"content": token}, None)
+        return self.before + token.encode() + self.after
 
     def last(self, answer):
         """Return the chunks after the last token, but for the end mark."""
--- /dev/null
+++ b/features/steps/zone_steps.py
@@ -0,0 +1,180 @@
+"""Steps about availability zones."""
+
+import concurrent.futures
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from features import builders
+from features import scenes
+from features.standins import caller
+from features.standins import process
+
+TOKENS = 4000
+WATCH_S = 4.0
+WORK = ("chat",)
+
+
+def engines_in(context, zone):
+    """Return the engines in a zone, by the text."""
+    declared = context.scene.text.maps["endpoints"]
+    return [
+        context.fleet.endpoints[name]
+        for name, fields in declared.items()
+        if fields["zone"] == zone and name.startswith("w")
+    ]
+
+
+def chat(context, index, key="k2"):
+    """Send a short chat to one entry after another."""
+    names = list(context.fleet.entries)
+    entry = context.fleet.entries[names[index % len(names)]]
+    one = entry.caller(builders.key_of(key))
+    return one.chat("frames", f"short {index} tokens=3")
+
+
+def begin_calls(context):
+    """Begin short chats at all entries, unless they run already."""
+    if getattr(context, "load", None) is None:
+        context.load = scenes.Load(
+            lambda index: chat(context, index), 40
+        ).start()
+        context.add_cleanup(context.load.stop)
+
+
+@given('each engine streams for "{key}"')
+def step_streams(context, key):
+    pool = concurrent.futures.ThreadPoolExecutor(32)
+    count = len(engines_of(context))
+    names = list(context.fleet.entries)
+    context.streams = []
+    process.wait_for(
+        lambda: spread(context, pool, names, key, count),
+        20.0,
+        "a stream at each engine",
+    )
+
+
+def engines_of(context):
+    """Return all engines."""
+    return [
+        endpoint
+        for name, endpoint in context.fleet.endpoints.items()
+        if name.startswith("w")
+    ]
+
+
+def spread(context, pool, names, key, count):
+    """Begin one more stream; tell whether each engine has one."""
+    index = len(context.streams)
+    entry = context.fleet.entries[names[index % len(names)]]
+    one = entry.caller(builders.key_of(key))
+    body = caller.chat_body(
+        "frames", f"long {index} tokens={TOKENS}", stream=True
+    )
+    if index < 4 * count:
+        context.streams.append(
+            (
+                f"long {index} tokens={TOKENS}",
+                pool.submit(one.request, "POST", "/v1/chat/completions", body),
+            )
+        )
+    time.sleep(0.1)
+    return all(
+        e.ctl.call("counters")["in_flight"] for e in engines_of(context)
+    )
+
+
+@when('zone "{zone}" is taken out')
+def step_out(context, zone):
+    begin_calls(context)
+    context.scene.text.change("zones", zone, state="out")
+    context.scene.publish()
+    context.out_at = time.monotonic()
+
+
+@when('zone "{zone}" is taken in again')
+def step_in(context, zone):
+    context.scene.text.change("zones", zone, state="in")
+    context.scene.publish()
+    context.in_at = time.monotonic()
+
+
+def begun_in(context, zone, since, until):
+    """Return requests that began in a zone in a time."""
+    return [
+        event
+        for endpoint in endpoints_in(context, zone)
+        for event in endpoint.events("request")
+        if since <= event["time"] <= until
+    ]
+
+
+def endpoints_in(context, zone):
+    """Return all endpoints in a zone, by the text."""
+    declared = context.scene.text.maps["endpoints"]
+    return [
+        context.fleet.endpoints[name]
+        for name, fields in declared.items()
+        if fields["zone"] == zone
+    ]
+
+
+@then(
+    '{seconds:d} s later no work begins in zone "{zone}" '
+    "while callers go on"
+)
+def step_no_work(context, seconds, zone):
+    since = context.out_at + seconds
+    until = since + WATCH_S
+    before = len(context.load.replies)
+    context.load.wait(until - time.monotonic())
+    assert len(context.load.replies) > before, "no caller went on"
+    begun = begun_in(context, zone, since, until)
+    assert not begun, f"{len(begun)} requests began after {seconds} s"
+
+
+@then("the streams that ran came whole")
+def step_whole(context):
+    for prompt, future in context.streams:
+        reply = future.result()
+        assert reply.done, (prompt, reply.status, reply.error, reply.body)
+        assert len(reply.text.split()) == TOKENS, len(reply.text.split())
+
+
+@then('the entries of "{zone}" are off the list')
+def step_off_list(context, zone):
+    away = {
+        address
+        for entry in context.fleet.entries.values()
+        if entry.zone == zone
+        for address in entry.gateways
+    }
+    for entry in context.fleet.entries.values():
+        listed = entry.caller().get("/v1/entries").json["entries"]
+        assert listed and not away & set(listed), (away, listed)
+
+
+@then('work begins in zone "{zone}" within {seconds:d} s')
+def step_work(context, zone, seconds):
+    process.wait_for(
+        lambda: begun_in(context, zone, context.in_at, time.monotonic()),
+        seconds,
+        f"work in zone {zone}",
+    )
+
+
+@then("no engine ever had more in flight than it bears")
+def step_no_overload(context):
+    for endpoint in engines_of(context):
+        assert not endpoint.violations(), endpoint.violations()[:3]
+
+
+@then("no call was refused although it could run")
+def step_none_refused(context):
+    replies = context.load.stop()
+    bad = [(r.status, r.body[:200], r.error) for r in replies]
+    bad = [item for item in bad if item[0] != 200]
+    assert not bad, (len(bad), len(replies), bad[:3])
