Split transfers and the VM watch from the registrar

Change: transfers.py, vmwatch.py; the free row is read until all is claimed; a VM counts as gone only if its heartbeat is overdue too.

--- a/benchmarks/countedfleet.py
+++ b/benchmarks/countedfleet.py
@@ -14,7 +14,15 @@
 from features.standins import machines
 from features.standins import process
 
-__all__ = ["CountedFleet", "Sample", "Use", "ZONES", "rss_mb", "start", "text_of"]
+__all__ = [
+    "CountedFleet",
+    "Sample",
+    "Use",
+    "ZONES",
+    "rss_mb",
+    "start",
+    "text_of",
+]
 
 ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
 QUIET = {"log": {"format": "text", "level": "warning"}}
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -5,11 +5,13 @@
 ``python -m benchmarks.slopes PART...`` runs the parts that are named:
 ``entries``, ``endpoints``, ``customers``, ``text``, ``changes``,
 ``requests``, ``functions``; none names them all.  Processor time is that
-of each process itself, so that a busy machine changes it little.
+of each process itself, so that a busy machine changes it little.  The
+``seed`` of a figure numbers its window or run: nothing is drawn.
 """
 
 import sys
 
+from benchmarks import report
 from benchmarks import slopes_changes
 from benchmarks import slopes_fleet
 from benchmarks import slopes_functions
@@ -30,9 +32,11 @@
 
 
 def main(names):
-    """Run the parts that are named, or all."""
+    """Run the parts that are named, or all, one after another."""
     for name in names or PARTS:
-        PARTS[name]()
+        rep = report.Report("slopes")
+        PARTS[name](rep)
+        rep.summary()
 
 
 if __name__ == "__main__":
--- a/dogwoodwheel/customers/accounts.py
+++ b/dogwoodwheel/customers/accounts.py
@@ -91,6 +91,8 @@
         self.partitions = {}
         self._count = 1
         self._untouched = set()
+        self._gained_at = {}
+        self._last_gained = set()
         self._known = set()
         self._accounts = {}
 
@@ -136,6 +138,9 @@
         """
         new = set(partitions) - set(self.partitions)
         self.partitions.update(partitions)
+        if new:
+            self._last_gained = new
+            self._gained_at.update(dict.fromkeys(new, self.clock()))
         if full:
             self._untouched.update(new)
         self._resize(self._part(new) if full else 0.0)
@@ -165,27 +170,41 @@
             levels[account.customer.name] = moved
         for number in gone:
             del self.partitions[number]
+            del self._gained_at[number]
         self._untouched -= gone
         self._resize()
         return levels
 
-    def hand_in(self, levels):
+    def hand_in(self, levels, partitions=None):
         """Add tokens that came with partitions taken by `gained`.
 
         Parameters
         ----------
         levels : dict of str to float
             As `lost` of the earlier holder returned them.
+        partitions : iterable of int, optional
+            Those that the tokens belong to; without it, those gained
+            last.
 
         Notes
         -----
         Not idempotent: the caller drops a `HandOver` whose epochs it
-        has seen.  No bucket is filled beyond its cap in any case.
+        has seen.  The tokens may come late.  What has been refilled
+        meanwhile counts, so that the partitions never bring more than
+        their part of the burst.
         """
+        known = set(partitions or self._last_gained) & set(self.partitions)
+        if not known:
+            return
         now = self.clock()
+        since_s = now - min(self._gained_at[number] for number in known)
+        part = self._part(known)
         for name, tokens in levels.items():
-            if name in self._accounts:
-                self._accounts[name].bucket.add(tokens, now)
+            account = self._accounts.get(name)
+            if account is not None:
+                customer = account.customer
+                room = part * (customer.burst - customer.rate * since_s)
+                account.bucket.add(min(tokens, max(room, 0.0)), now)
 
     def configure(self, declaration):
         """Take a configuration.
--- a/dogwoodwheel/customers/ahead.py
+++ b/dogwoodwheel/customers/ahead.py
@@ -6,7 +6,7 @@
 
 __all__ = ["Ahead"]
 
-AHEAD_S = 0.5
+AHEAD_S = 1.0
 KEEP_S = 2.0
 GATHER_S = 1.0
 
--- a/dogwoodwheel/customers/borrower.py
+++ b/dogwoodwheel/customers/borrower.py
@@ -164,10 +164,15 @@
         entries = self.fleet.view.entries.values()
         usable = [entry for entry in entries if self._usable(entry)]
         self.rng.shuffle(usable)
-        before = self.clock() - GAVE_LATELY_S
-        usable.sort(key=lambda entry: -max(self._when_gave(entry), before))
+        usable.sort(key=self._order)
         return usable
 
+    def _order(self, entry):
+        """Put entries that are overdue last, and those that gave first."""
+        before = self.clock() - GAVE_LATELY_S
+        overdue = entry.name not in self.fleet.view.live
+        return overdue, -max(self._when_gave(entry), before)
+
     def _usable(self, entry):
         if entry.name == self.fleet.me or not entry.shares:
             return False
--- a/dogwoodwheel/customers/fairqueue.py
+++ b/dogwoodwheel/customers/fairqueue.py
@@ -23,9 +23,14 @@
             self.ranks[rank] = collections.OrderedDict()
         self.ranks[rank][item] = cost
 
+    @property
+    def lowest_rank(self):
+        """Rank of what goes first."""
+        return min(self.ranks)
+
     def head(self):
         """Return rank, item and cost of what goes first."""
-        rank = min(self.ranks)
+        rank = self.lowest_rank
         item, cost = next(iter(self.ranks[rank].items()))
         return rank, item, cost
 
@@ -123,28 +128,53 @@
         self._take(customer, rank, item)
         return True
 
-    def pop(self):
-        """Return the item whose turn it is, or None where none waits."""
-        passed = 0
+    def pop(self, max_rank=math.inf):
+        """Return the item whose turn it is.
+
+        Parameters
+        ----------
+        max_rank : int, optional
+            Only items of this rank or a lower one.  So the last free
+            slots can be kept for short requests while long ones run in
+            all others.
+
+        Returns
+        -------
+        hashable or None
+            None where no such item waits.
+        """
+        passed, eligible = 0, []
         while self._flows:
             customer, flow = next(iter(self._flows.items()))
-            if not flow.visited:
-                flow.visited = True
-                flow.deficit += self.quantum * flow.weight
-            rank, item, cost = flow.head()
-            if cost <= flow.deficit:
-                flow.deficit -= cost
-                del self._places[item]
-                self._take(customer, rank, item)
-                return item
+            if flow.lowest_rank <= max_rank:
+                if self._may_send(flow):
+                    return self._send(customer, flow)
+                eligible.append(flow)
             flow.visited = False
             self._flows.move_to_end(customer)
             passed += 1
             if passed >= len(self._flows):
-                self._skip_rounds()
-                passed = 0
+                if not eligible:
+                    return None
+                self._skip_rounds(eligible)
+                passed, eligible = 0, []
         return None
 
+    def _may_send(self, flow):
+        """Grant a flow its turn, and tell whether it pays for its head."""
+        if not flow.visited:
+            flow.visited = True
+            flow.deficit += self.quantum * flow.weight
+        _, _, cost = flow.head()
+        return cost <= flow.deficit
+
+    def _send(self, customer, flow):
+        rank, item, cost = flow.head()
+        flow.deficit -= cost
+        del self._places[item]
+        self._take(customer, rank, item)
+        return item
+
     def _take(self, customer, rank, item):
         flow = self._flows[customer]
         flow.remove(rank, item)
@@ -152,10 +182,10 @@
         if not flow.ranks:
             del self._flows[customer]
 
-    def _skip_rounds(self):
+    def _skip_rounds(self, flows):
         """Grant at once the turns in which nobody could be served."""
-        turns = min(self._turns(flow) for flow in self._flows.values())
-        for flow in self._flows.values():
+        turns = min(self._turns(flow) for flow in flows)
+        for flow in flows:
             flow.deficit += (turns - 1) * self.quantum * flow.weight
 
     def _turns(self, flow):
--- a/dogwoodwheel/customers/ledger.py
+++ b/dogwoodwheel/customers/ledger.py
@@ -18,7 +18,7 @@
 GATHER_S = 1.0
 RETRY_MIN_S = 0.01
 RETRY_MAX_S = 0.05
-DRY_S = 0.2
+DRY_S = 0.5
 MIN_RETRY_AFTER_S = 0.05
 UNREACHABLE_RETRY_S = 1.0
 CHARGE_KEEP_S = 3600.0
@@ -132,9 +132,9 @@
         """Give partitions up; see `accounts.Accounts.lost`."""
         return self.accounts.lost(partitions)
 
-    def hand_in(self, levels):
+    def hand_in(self, levels, partitions=None):
         """Add tokens handed over; see `accounts.Accounts.hand_in`."""
-        self.accounts.hand_in(levels)
+        self.accounts.hand_in(levels, partitions)
 
     def configure(self, declaration):
         """Take a configuration; see `accounts.Accounts.configure`."""
--- a/dogwoodwheel/endpoints/grants.py
+++ b/dogwoodwheel/endpoints/grants.py
@@ -139,6 +139,25 @@
         if live and live <= self._reported:
             self._open = True
 
+    def free_dead(self, now):
+        """Free the slots of entries that cannot use them any more.
+
+        Notes
+        -----
+        Those of an entry that is proved gone.  Also those of one whose
+        heartbeat is overdue, once the deadline of the request is past,
+        after which it is not sent any more, and the status shows that
+        fewer run than are counted.
+        """
+        view = self.fleet.view
+        status = self.owner.status
+        for slot in list(self.slots.granted.values()):
+            gone = self.fleet.gone(slot.entry, slot.incarnation)
+            late = slot.entry not in view.live and now > slot.until
+            fewer = status and status.in_flight < len(self.slots.granted)
+            if gone or (late and fewer):
+                self.slots.finish(slot.name, "cancelled", 0.0, now)
+
     def known(self, model):
         """Return how many requests of a model may run or wait.
 
@@ -189,6 +208,7 @@
             incarnation=entry.incarnation if entry else "",
             model=ask.model,
             granted_at=now,
+            until=now + ask.deadline_s,
             process=process,
         )
         self.slots.hold(slot, now)
@@ -228,8 +248,9 @@
         if status is None or slot.process != status.incarnation:
             return False
         services = self.fleet.view.declaration.services
-        service = services[self.owner.endpoint.service]
-        return service.kind == PLAIN or msg.tokens > 0
+        service = services.get(self.owner.endpoint.service)
+        plain = service is not None and service.kind == PLAIN
+        return plain or msg.tokens > 0
 
     def _return_unused(self, ticket):
         if isinstance(ticket.result, messages.Grant):
--- a/dogwoodwheel/endpoints/health.py
+++ b/dogwoodwheel/endpoints/health.py
@@ -126,9 +126,8 @@
 
     def _leave_out(self, reason, now):
         if self.state is State.OUT:
-            if now < self._retry_at:
-                return
-        elif self.out_since is None:
+            return
+        if self.out_since is None:
             self.out_since = now
         self.state = State.OUT
         self.reason = reason
--- a/dogwoodwheel/endpoints/loader.py
+++ b/dogwoodwheel/endpoints/loader.py
@@ -15,6 +15,7 @@
 REPEAT_S = 1.0
 LOAD_BOUND_S = 600.0
 UNKNOWN_S = 10.0
+STATUS_S = 2.0
 FINISH_S = 12.0
 FIRST_POLL_S = 0.02
 POLL_PART = 0.1
@@ -190,6 +191,9 @@
     async def _load_permitted(self, replica, may_order):
         if self.book.replicas.get(replica.name) != replica:
             return
+        # What somebody else loaded there meanwhile must be seen first.
+        if not await self.shown.newer(self.owner.poll, STATUS_S):
+            return
         free_mb = self.owner.endpoint.memory_mb
         free_mb -= self.shown.others_mb(replica.name)
         if not may_order() or replica.memory_mb > free_mb:
--- a/dogwoodwheel/endpoints/owner.py
+++ b/dogwoodwheel/endpoints/owner.py
@@ -118,7 +118,9 @@
 
     def usable(self):
         """Tell whether the operators and the platform let it have work."""
-        return self.fleet.view.usable(self.endpoint)
+        view = self.fleet.view
+        declared = view.declaration.endpoints.get(self.endpoint.name)
+        return declared is not None and view.usable(declared)
 
     def closed_reason(self):
         """Return why it may receive no new work, or None."""
--- a/dogwoodwheel/endpoints/shown.py
+++ b/dogwoodwheel/endpoints/shown.py
@@ -82,6 +82,27 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    async def newer(self, poll, timeout_s):
+        """Wait for a status that is asked for from now on.
+
+        Parameters
+        ----------
+        poll : callable
+            ``poll()`` makes the next status call come at once.
+        timeout_s : float
+
+        Returns
+        -------
+        bool
+            False where none came in time.
+        """
+        since = trio.current_time()
+        poll()
+        with trio.move_on_after(timeout_s):
+            while self.asked_at < since:
+                await self._changed.wait()
+        return self.asked_at >= since
+
     async def changed(self):
         """Return when a newer status came."""
         await self._changed.wait()
--- a/dogwoodwheel/endpoints/slots.py
+++ b/dogwoodwheel/endpoints/slots.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 
 import trio
 
@@ -26,6 +27,8 @@
     model : str
     granted_at : float
         Seconds, trio's clock.
+    until : float
+        Deadline of its request; infinite where it is not known.
     process : str
         Incarnation of the endpoint when it was granted.
     """
@@ -35,6 +38,7 @@
     incarnation: str
     model: str
     granted_at: float
+    until: float = math.inf
     process: str = ""
 
 
--- a/dogwoodwheel/endpoints/watch.py
+++ b/dogwoodwheel/endpoints/watch.py
@@ -95,10 +95,7 @@
         owner = self.owner
         while True:
             await trio.sleep(TICK_S)
-            now = trio.current_time()
-            for slot in list(owner.slots.granted.values()):
-                if self.fleet.gone(slot.entry, slot.incarnation):
-                    owner.slots.finish(slot.name, "cancelled", 0.0, now)
+            owner.grants.free_dead(trio.current_time())
             self.fleet.metrics.set_slots(owner.endpoint.name, owner.limit)
             self.fleet.metrics.add_idle(TICK_S * self._idle())
             owner.grants.pump()
--- a/dogwoodwheel/membership/fleet.py
+++ b/dogwoodwheel/membership/fleet.py
@@ -13,6 +13,8 @@
 __all__ = ["Fleet"]
 
 TELL_TIMEOUT_S = 1.0
+OVERDUE_S = 4.0
+OVERDUE_SCANS = 4
 
 
 class Fleet:
@@ -42,6 +44,7 @@
         self.peers = None
         self.handle = None
         self.presence = proof.Presence()
+        self.beats = proof.Heartbeats(OVERDUE_S, OVERDUE_SCANS)
         self.sightings = sightings.Sightings()
         self._changed = trio.Event()
 
@@ -111,9 +114,18 @@
         return name != self.me and self.vm_gone(name)
 
     def vm_gone(self, name):
-        """Tell whether the platform's list proves a VM gone."""
+        """Tell whether an entry's VM is proved gone.
+
+        Notes
+        -----
+        The platform's list may be wrong for long, so the entry's own
+        heartbeat must be overdue as well.
+        """
+        now = trio.current_time()
         lag_s = self.view.declaration.vm_list_lag_s
-        return self.presence.gone(name, trio.current_time(), lag_s)
+        return self.beats.overdue(name, now) and self.presence.gone(
+            name, now, lag_s
+        )
 
     def sample(self, count):
         """Return up to ``count`` other entries' names at random."""
--- a/dogwoodwheel/membership/registrar.py
+++ b/dogwoodwheel/membership/registrar.py
@@ -7,21 +7,16 @@
 import trio
 
 from dogwoodwheel import exceptions
-from dogwoodwheel.membership import assign
-from dogwoodwheel.membership import proof
 from dogwoodwheel.membership import rows
 from dogwoodwheel.membership import sightings
+from dogwoodwheel.membership import transfers
 from dogwoodwheel.membership import view
 from dogwoodwheel.platform import table
-from dogwoodwheel.wire import messages
 
 __all__ = ["Registrar"]
 
 HEARTBEAT_S = 1.0
 ENTRIES_A_HEARTBEAT_S = 100
-OVERDUE_S = 4.0
-OVERDUE_SCANS = 4
-VM_LIST_S = 1.0
 
 
 class Registrar:
@@ -53,9 +48,10 @@
         self.public = lambda: fleet.settings.public
         self.row = None
         self.heartbeat = 0
-        self.beats = proof.Heartbeats(OVERDUE_S, OVERDUE_SCANS)
+        self.beats = fleet.beats
         self.leaving = False
         self.doubt = False
+        self.all_claimed = False
         self._kicked = trio.Event()
 
     async def join(self):
@@ -123,27 +119,6 @@
         """Make the next tick come at once."""
         self._kicked.set()
 
-    async def watch_vms(self, vms):
-        """Read the platform's list of VMs for ever."""
-        presence = self.fleet.presence
-        while True:
-            try:
-                listed = await vms.list()
-                now = trio.current_time()
-                presence.saw(
-                    listed, self.fleet.me, self.fleet.view.entries, now
-                )
-            except exceptions.PlatformError as exc:
-                logger.debug("membership: no list of VMs; {}", exc)
-            decl = self.fleet.view.declaration
-            if decl is not None:
-                self.fleet.update(
-                    leaving=presence.leaving(
-                        trio.current_time(), decl.vm_list_lag_s
-                    )
-                )
-            await trio.sleep(VM_LIST_S)
-
     async def tick(self):
         """Write the heartbeat, read all rows, and move what should move.
 
@@ -155,12 +130,12 @@
         await self._scan()
         if self.fleet.view.declaration is None:
             return
-        await self._claim()
+        await transfers.claim(self)
         if self.leaving:
-            await self._hand(self.fleet.view.live - {self.fleet.me})
+            await transfers.hand(self, self._others_live())
             return
-        await self._hand(self._receivers())
-        await self._take()
+        await transfers.hand(self, self.receivers())
+        await transfers.take(self)
 
     async def leave(self):
         """Hand over everything, then delete this entry's row.
@@ -176,7 +151,7 @@
             await self.tick()
             if not self.row.shares and not self.row.holdings:
                 break
-            if not self.fleet.view.live - {self.fleet.me}:
+            if not self._others_live():
                 logger.info("membership: left as the last entry")
                 return
             await trio.sleep(HEARTBEAT_S * random.random())
@@ -274,6 +249,8 @@
             self.rights.lost(lost)
         if gained:
             self.rights.gained(gained, full=False)
+        # A hand-over that did not take effect had released these.
+        self.rights.resume(entry.holdings)
 
     async def _scan(self):
         found = await self.tbl.scan(rows.ENTRIES)
@@ -300,166 +277,33 @@
         self.fleet.peers.keep(entries)
         self.rights.published()
 
-    async def _claim(self):
-        """Take our part of the partitions that nobody has held yet."""
-        row = await self.tbl.read(rows.FREE_TABLE, rows.FREE_KEY)
-        free = rows.free_of(row)
-        if not free.count:
-            await self._found(free)
-            return
-        self.fleet.update(partitions=free.count)
-        live = self.fleet.view.live
-        if self.leaving or self.fleet.me not in live:
-            return
-        move = assign.to_claim(free, live, self.fleet.me)
-        if not move:
-            return
-        shares = dict(self.row.shares) | {p: 1 for p in move.shares}
-        holdings = dict(self.row.holdings) | {
-            p: view.Holding(1) for p in move.holdings
-        }
-        after = dataclasses.replace(self.row, shares=shares, holdings=holdings)
-        rest = dataclasses.replace(
-            free,
-            shares=tuple(p for p in free.shares if p not in move.shares),
-            holdings=tuple(p for p in free.holdings if p not in move.holdings),
-        )
-        checks = [
-            table.Check(rows.ENTRIES, after.name, self.row.row),
-            table.Check(rows.FREE_TABLE, rows.FREE_KEY, free.row),
-        ]
-        writes = [
-            rows.write_entry(after, self.heartbeat),
-            rows.write_free(rest),
-        ]
-        if await self._commit(checks, writes):
-            self.row = dataclasses.replace(after, row=self.row.row + 1)
-            # Nobody has spent of these yet, so their burst is whole.
-            self.rights.gained({p: 1 for p in move.shares}, full=True)
-
-    async def _found(self, free):
-        """Set the number of partitions, at the fleet's first start."""
-        count = self.fleet.view.declaration.partitions
-        parts = tuple(range(count))
-        first = rows.Free(count, parts, parts)
-        check = table.Check(rows.FREE_TABLE, rows.FREE_KEY, free.row)
-        await self._commit([check], [rows.write_free(first)])
-
-    def _receivers(self):
-        """Return the live entries, if we are one of them."""
-        live = self.fleet.view.live
-        return live if self.fleet.me in live else frozenset()
+    def written(self, entry):
+        """Take what a commit of ours has made of our row."""
+        self.row = dataclasses.replace(entry, row=self.row.row + 1)
 
-    async def _hand(self, live):
-        """Hand over what other live entries should hold."""
-        for name, move in assign.to_hand(self.row, live).items():
-            receiver = self.fleet.view.entries[name]
-            heartbeat = await self._their_heartbeat(receiver)
-            if heartbeat is not None:
-                await self._hand_to(receiver, heartbeat, move)
-
-    async def _hand_to(self, receiver, heartbeat, move):
-        mine, theirs = assign.moved(self.row, receiver, move, proved=True)
-        checks = [
-            table.Check(rows.ENTRIES, mine.name, self.row.row),
-            table.Check(rows.ENTRIES, receiver.name, receiver.row),
-        ]
-        writes = [
-            rows.write_entry(mine, self.heartbeat),
-            rows.write_entry(theirs, heartbeat),
-        ]
-        # We stop acting on it before anyone else may begin.
-        levels = self.rights.lost(move.shares)
-        await self.rights.release(move.holdings)
-        try:
-            await table.settle(self.tbl, checks, writes)
-        except exceptions.OutcomeUnknownError:
-            self._doubt(mine)
-            raise
-        except exceptions.PlatformError:
-            kept = {p: self.row.shares[p] for p in move.shares}
-            self.rights.gained(kept, full=False)
-            self.rights.hand_in(levels)
-            self.rights.resume(move.holdings)
-            return
-        self.row = dataclasses.replace(mine, row=self.row.row + 1)
-        self._local_view()
-        shares = tuple((p, theirs.shares[p]) for p in move.shares)
-        await self.fleet.tell(
-            receiver.name, messages.HandOver(0, shares, levels)
-        )
-
-    def _doubt(self, least):
+    def hold_least(self, least):
         """Hold the least until our row, read again, tells the outcome."""
         self.row = dataclasses.replace(least, row=self.row.row)
         self.doubt = True
 
-    async def _their_heartbeat(self, entry):
-        row = await self.tbl.read(rows.ENTRIES, entry.name)
-        if row.version != entry.row:
-            return None
-        return rows.entry_of(row)[1]
-
-    async def _take(self):
-        """Take over from entries whose heartbeat is overdue."""
-        now = trio.current_time()
-        live = self._receivers()
-        for name, entry in tuple(self.fleet.view.entries.items()):
-            if name == self.fleet.me or not live:
-                continue
-            if not self.beats.overdue(name, now):
-                continue
-            gone = self.fleet.vm_gone(name)
-            move = assign.to_take(entry, live, self.fleet.me, gone)
-            if move:
-                await self._take_from(entry, move, gone)
-            elif gone and not entry.shares and not entry.holdings:
-                await self._bury(entry)
-
-    async def _take_from(self, entry, move, gone):
-        theirs, mine = assign.moved(entry, self.row, move, proved=gone)
-        heartbeat = await self._their_heartbeat(entry)
-        if heartbeat is None:
-            return
-        done = await self._commit(
-            [
-                table.Check(rows.ENTRIES, mine.name, self.row.row),
-                table.Check(rows.ENTRIES, entry.name, entry.row),
-            ],
-            [
-                rows.write_entry(mine, self.heartbeat),
-                rows.write_entry(theirs, heartbeat),
-            ],
-        )
-        if not done:
-            return
-        self.row = dataclasses.replace(mine, row=self.row.row + 1)
-        taken = {p: mine.shares[p] for p in move.shares}
-        self.rights.gained(taken, full=False)
-        logger.warning(
-            "membership: took over from entry={} shares={} holdings={} "
-            "gone={}",
-            entry.name,
-            len(move.shares),
-            len(move.holdings),
-            gone,
-        )
-        self._local_view()
-
-    def _local_view(self):
-        entries = dict(self.fleet.view.entries)
+    def publish_moves(self):
+        """Show in the view what a commit of ours has moved."""
+        entries = {
+            name: _without(entry, self.row)
+            for name, entry in self.fleet.view.entries.items()
+        }
         entries[self.fleet.me] = self.row
-        for name, entry in entries.items():
-            if name != self.fleet.me:
-                entries[name] = _without(entry, self.row)
         self._publish(entries, self.fleet.view.live)
 
-    async def _bury(self, entry):
-        check = table.Check(rows.ENTRIES, entry.name, entry.row)
-        write = table.Write(rows.ENTRIES, entry.name)
-        await self._commit([check], [write])
+    def receivers(self):
+        """Return the live entries, if we are one of them."""
+        live = self.fleet.view.live
+        return live if self.fleet.me in live else frozenset()
+
+    def _others_live(self):
+        return self.fleet.view.live - {self.fleet.me}
 
-    async def _commit(self, checks, writes):
+    async def commit(self, checks, writes):
         """Commit a gain; False where it did not take effect.
 
         Notes
--- a/dogwoodwheel/placement/decider.py
+++ b/dogwoodwheel/placement/decider.py
@@ -8,6 +8,7 @@
 import trio
 
 from dogwoodwheel import exceptions
+from dogwoodwheel.placement import catalog
 from dogwoodwheel.placement import idle
 from dogwoodwheel.placement import placer
 from dogwoodwheel.placement import records
@@ -84,6 +85,7 @@
         self.fleet = fleet
         self.table = table
         self.rng = rng or random.Random()
+        self.catalog = catalog.Catalog(fleet)
         self.usages = idle.Usages()
         self.placer = placer.Placer(fleet, table)
         self.known = {}
@@ -112,7 +114,7 @@
             Within `ANSWER_S`; a refusal as ``endpoint_unavailable`` may
             be asked again at once.
         """
-        if self.model(ask.model) is None:
+        if self.catalog.model(ask.model) is None:
             return _refusal(
                 "unknown_model",
                 f"{ask.model} is not declared; see GET /v1/models",
@@ -149,38 +151,6 @@
         record = await records.read_model(self.table, model)
         return record.endpoints
 
-    def model(self, name):
-        """Return what to place, or None where it is not declared.
-
-        Notes
-        -----
-        An adapter takes the form of a small model with as many replicas
-        as its base.
-        """
-        declaration = self.fleet.view.declaration
-        if declaration is None:
-            return None
-        adapter = declaration.adapters.get(name)
-        if adapter is None:
-            return declaration.models.get(name)
-        return dataclasses.replace(
-            declaration.models[adapter.base],
-            name=name,
-            version=adapter.version,
-            size_mb=adapter.size_mb,
-        )
-
-    def base(self, name):
-        """Return the base model of an adapter; empty for a model."""
-        adapter = self.fleet.view.declaration.adapters.get(name)
-        return adapter.base if adapter else ""
-
-    def usable(self, name):
-        """Tell whether an endpoint may receive new work."""
-        view = self.fleet.view
-        endpoint = view.declaration.endpoints.get(name)
-        return endpoint is not None and view.usable(endpoint)
-
     async def read(self, name):
         """Read a model's rows.
 
@@ -194,12 +164,12 @@
         ------
         PlatformError
         """
-        model = self.model(name)
+        model = self.catalog.model(name)
         read_at = trio.current_time()
         record = await records.read_model(self.table, name)
         good = []
         down = set()
-        for endpoint in filter(self.usable, record.endpoints):
+        for endpoint in filter(self.catalog.usable, record.endpoints):
             row = await records.read_endpoint(self.table, endpoint)
             if row.down:
                 down.add(endpoint)
@@ -216,7 +186,7 @@
         known = self.known.get(ask.model)
         if known is None:
             return ()
-        good = tuple(filter(self.usable, known.good))
+        good = tuple(filter(self.catalog.usable, known.good))
         return good if set(good) - set(ask.avoid) else ()
 
     def _refresh(self, ask):
@@ -294,10 +264,10 @@
 
     async def _attempt(self, ask):
         """Return endpoints or a refusal; None to try again later."""
-        model = self.model(ask.model)
+        model = self.catalog.model(ask.model)
         if model is None:
             return _refusal("unknown_model", f"{ask.model} was removed")
-        base = self.base(ask.model)
+        base = self.catalog.base(ask.model)
         hosts = None
         if base:
             reply = await self._ensure_base(ask, base)
@@ -308,7 +278,7 @@
         good = known.good
         if set(good) - set(ask.avoid) - down:
             return good
-        open_ = [n for n in known.record.endpoints if self.usable(n)]
+        open_ = [n for n in known.record.endpoints if self.catalog.usable(n)]
         if len(set(open_) - down) < model.max_replicas:
             record = await self.placer.add(model, base, hosts, known.record)
             if record is not None:
@@ -318,7 +288,7 @@
                 return good
         if good:
             return good
-        if not open_ and not self._possible(model):
+        if not open_ and not self.catalog.possible(model):
             return _refusal(
                 "no_memory",
                 f"no endpoint in use is large enough for {model.name}; "
@@ -327,15 +297,6 @@
             )
         return None
 
-    def _possible(self, model):
-        """Tell whether an endpoint could hold a model if it were empty."""
-        return any(
-            endpoint.service == model.service
-            and endpoint.memory_mb >= model.size_mb
-            and self.usable(endpoint.name)
-            for endpoint in self.fleet.view.declaration.endpoints.values()
-        )
-
     async def _ensure_base(self, ask, base):
         decider = self.fleet.view.decider_of(base)
         msg = messages.Ensure(0, base, ask.deadline_s, ask.avoid)
--- a/dogwoodwheel/placement/placer.py
+++ b/dogwoodwheel/placement/placer.py
@@ -107,7 +107,8 @@
     def _orderable(self, endpoint):
         """Tell whether an endpoint may get work, and soon orders too."""
         view = self.fleet.view
-        if not view.usable(endpoint):
+        declared = view.declaration.endpoints.get(endpoint.name)
+        if declared is None or not view.usable(declared):
             return False
         entry, holding = view.owner_of(endpoint.name)
         if entry is None:
--- a/dogwoodwheel/placement/records.py
+++ b/dogwoodwheel/placement/records.py
@@ -100,7 +100,7 @@
         """Return the record of a row as read."""
         value = row.value or {}
         replicas = {
-            name: Replica(name=name, **fields)
+            name: _replica(name, fields)
             for name, fields in value.get("models", {}).items()
         }
         return cls(
@@ -297,6 +297,13 @@
     await tables.settle(table, checks, writes)
 
 
+def _replica(name, fields):
+    # A newer program may write fields that this one does not know.
+    known = {field.name for field in dataclasses.fields(Replica)}
+    kept = {key: item for key, item in fields.items() if key in known}
+    return Replica(name=name, **kept)
+
+
 def _next(record):
     return dataclasses.replace(record, row=record.row + 1)
 
--- a/dogwoodwheel/placement/upkeep.py
+++ b/dogwoodwheel/placement/upkeep.py
@@ -20,6 +20,7 @@
 
     def __init__(self, decider):
         self.decider = decider
+        self.catalog = decider.catalog
         self.usages = decider.usages
         self.placer = decider.placer
 
@@ -44,14 +45,14 @@
             await self._unload(model, endpoint, "idle")
 
     def _idle_s(self, name):
-        model = self.decider.model(name)
+        model = self.catalog.model(name)
         return model.idle_s if model else None
 
     async def _unload_excess(self):
         """Unload what is above the limit, once a zone is back."""
         for name, known in list(self.decider.known.items()):
-            model = self.decider.model(name)
-            good = list(filter(self.decider.usable, known.good))
+            model = self.catalog.model(name)
+            good = list(filter(self.catalog.usable, known.good))
             if model is None or len(good) <= model.max_replicas:
                 continue
             idlest = max(good, key=lambda e: self.usages.idle_for(name, e))
@@ -72,16 +73,16 @@
     async def _add_busy(self):
         """Add a replica where more wait than its endpoints serve."""
         for name, known in list(self.decider.known.items()):
-            model = self.decider.model(name)
-            if model is None or self.decider.base(name):
+            model = self.catalog.model(name)
+            if model is None or self.catalog.base(name):
                 continue
-            good = list(filter(self.decider.usable, known.good))
+            good = list(filter(self.catalog.usable, known.good))
             few = 0 < len(good) < model.max_replicas
             if not few or not all(self._busy(name, e) for e in good):
                 continue
             newer, down = await self.decider.read(name)
             counted = set(newer.record.endpoints) - down
-            counted = set(filter(self.decider.usable, counted))
+            counted = set(filter(self.catalog.usable, counted))
             if len(counted) < model.max_replicas:
                 await self.placer.add(model, "", None, newer.record)
                 await self.decider.read(name)
--- a/dogwoodwheel/programs/coordinator.py
+++ b/dogwoodwheel/programs/coordinator.py
@@ -21,6 +21,7 @@
 from dogwoodwheel.membership import rights as rights_module
 from dogwoodwheel.membership import sightings
 from dogwoodwheel.membership import view as view_module
+from dogwoodwheel.membership import vmwatch
 from dogwoodwheel.placement import decider as decider_module
 from dogwoodwheel.placement import loads as loads_module
 from dogwoodwheel.platform import objects as objects_module
@@ -184,7 +185,7 @@
     nursery.start_soon(_configure, parts)
     nursery.start_soon(parts.configuration.run)
     nursery.start_soon(parts.registrar.run)
-    nursery.start_soon(parts.registrar.watch_vms, parts.vms)
+    nursery.start_soon(vmwatch.watch, parts.fleet, parts.vms)
     nursery.start_soon(parts.ledger.run)
     nursery.start_soon(parts.registry.run)
     nursery.start_soon(parts.decider.run)
--- a/features/answers.feature
+++ b/features/answers.feature
@@ -19,6 +19,18 @@
     Then each got its whole answer, or a stream's truthful end
     And no answer was cut but after its first token
 
+  @promise @promise-08
+  Scenario: A stream that breaks is resumed at another engine
+    Given a request fleet of 2 entries
+    And the request fleet runs
+    When streams fail once in each of these ways
+      | fault       |
+      | broken      |
+      | short       |
+      | no_done     |
+      | close_after |
+    Then each caller got the whole answer to its own request
+
   @promise @promise-08
   Scenario: Replies of all kinds of faults meet many requests at once
     Given a request fleet of 2 entries
--- a/features/sharing.feature
+++ b/features/sharing.feature
@@ -22,6 +22,13 @@
     And customer "frost" pushes a question of 50 tokens at rank 1
     Then both questions are among the first 3 popped
 
+  Scenario: A slot can be kept for short questions
+    Given a fair queue
+    When customer "husk" pushes 50 audits of 4000 tokens at rank 9
+    Then nothing of rank 1 is popped and 50 still wait
+    When customer "frost" pushes a question of 50 tokens at rank 1
+    Then the question of "frost" is popped at rank 1
+
   Scenario: A key opens for its customer only until it is withdrawn
     Given an issued key of customer "husk"
     Then its text finds "husk"
--- a/features/sharing_model.py
+++ b/features/sharing_model.py
@@ -68,6 +68,8 @@
         self.lost = []
         self.repays = []
         self.flying = []
+        self.late = []
+        self.gained_at = {}
         self.resting = set()
         self.nodes = [self.fresh() for _ in range(ENTRIES)]
         self.lives = [0] * ENTRIES
@@ -206,8 +208,16 @@
     def take_handed_over(self, pick, entry, message_lost):
         part, levels = self.flying.pop(pick % len(self.flying))
         self.nodes[entry].gained({part: 1})
+        self.gained_at[entry, part] = self.now
         if not message_lost:
-            self.nodes[entry].hand_in(levels)
+            self.late.append((entry, self.life(entry), part, levels))
+
+    @stateful.precondition(lambda self: self.late)
+    @stateful.rule(pick=PICK)
+    def hand_in(self, pick):
+        entry, life, part, levels = self.late.pop(pick % len(self.late))
+        if life == self.life(entry):
+            self.nodes[entry].hand_in(levels, [part])
 
     @stateful.rule(entry=ENTRY)
     def crash(self, entry):
@@ -275,10 +285,26 @@
             # What is returned to a lender fills it to its cap only.
             most = max(bucket.cap, bucket.available)
             tokens += min(bucket.available + self.returns(entry), most)
+        for entry, life, part, levels in self.late:
+            if life == self.life(entry) and part in self.taken(entry):
+                tokens += min(levels["husk"], self.room_since(entry, part))
         for hand in self.in_hand:
             tokens += 0 if hand.orphan else hand.loan.tokens
         return tokens
 
+    def taken(self, entry):
+        """Return when an entry got its partitions."""
+        return {
+            part: when
+            for (one, part), when in self.gained_at.items()
+            if one == entry and part in self.nodes[entry].partitions
+        }
+
+    def room_since(self, entry, part):
+        """Return what a partition may bring beside what it refilled."""
+        since_s = self.now - self.gained_at[entry, part]
+        return max(BURST - RATE * since_s, 0.0) / PARTITIONS
+
     def returns(self, lender):
         """Return the tokens that may come back to a lender unspent."""
         unused = self.repays + [(hand, 0.0) for hand in self.lost]
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -139,6 +139,19 @@
                 context.results.append((row["fault"], stream, *result))
 
 
+@when("streams fail once in each of these ways")
+def step_streams_fail_once(context):
+    context.results = []
+    for row in context.table:
+        for entry in context.fleet.entries:
+            put_faults(context, kind=row["fault"], tokens=3)
+            context.fleet.endpoints["w1"].ctl.call("clear_faults")
+            for turn in range(4):
+                prompt = f"once {row['fault']} {entry} {turn} tokens=9"
+                result = call(context, entry, prompt, stream=True)
+                context.results.append((row["fault"], True, *result))
+
+
 @when("{count:d} requests at once meet all of these faults")
 def step_many_fail(context, count):
     faults = [
