Check all promises in a seeded random run

Cause: directed failures come one at a time; some faults need two. Found: a restarted coordinator refused requests as unknown_customer until its ledger had the configuration, which was not true; admission now waits for that.

--- a/dogwoodwheel/programs/coordinator.py
+++ b/dogwoodwheel/programs/coordinator.py
@@ -182,7 +182,7 @@
         parts.ready,
         functools.partial(report.status, parts),
     )
-    nursery.start_soon(_configure, parts)
+    nursery.start_soon(parts.admission.follow)
     nursery.start_soon(parts.configuration.run)
     nursery.start_soon(parts.registrar.run)
     nursery.start_soon(vmwatch.watch, parts.fleet, parts.vms)
@@ -201,22 +201,6 @@
         return None
 
 
-async def _configure(parts):
-    """Tell the ledger of each new version, for ever."""
-    known = 0
-    while True:
-        current = parts.fleet.view
-        if current.partitions and current.version != known:
-            known = current.version
-            # Only the table's number of partitions is in force.
-            parts.ledger.configure(
-                dataclasses.replace(
-                    current.declaration, partitions=current.partitions
-                )
-            )
-        await parts.fleet.changed()
-
-
 async def _gauges(parts):
     """Bring the gauges up to date, for ever."""
     while True:
--- a/dogwoodwheel/requests/admission.py
+++ b/dogwoodwheel/requests/admission.py
@@ -42,6 +42,20 @@
         self.fleet = fleet
         self.ledger = ledger
         self.slots = slots
+        self._version = 0
+
+    async def follow(self):
+        """Tell the ledger of each new version, for ever."""
+        while True:
+            current = self.fleet.view
+            if current.partitions and current.version != self._version:
+                # Only the table's number of partitions is in force.
+                declaration = dataclasses.replace(
+                    current.declaration, partitions=current.partitions
+                )
+                self.ledger.configure(declaration)
+                self._version = current.version
+            await self.fleet.changed()
 
     async def ask(self, ask):
         """Return a `Grant` or a `Refusal` for a gateway's question.
@@ -68,7 +82,7 @@
 
     async def _settled(self, until):
         with trio.move_on_at(until):
-            while not self.fleet.view.settled():
+            while not self._version or not self.fleet.view.settled():
                 await self.fleet.changed()
             return True
         return False
--- /dev/null
+++ b/features/chaos/__init__.py
@@ -0,0 +1,1 @@
+"""A seeded random run of failures that checks all promises."""
