--- a/dogwoodwheel/membership/registrar.py
+++ b/dogwoodwheel/membership/registrar.py
@@ -270,6 +270,9 @@
             for name, entry in entries.items()
             if not entry.leaving and not self.beats.overdue(name, now)
         )
+        if live == self.fleet.view.live:
+            # The same object, so that what is cached by it is found fast.
+            live = self.fleet.view.live
         self._publish(entries, live)
 
     def _publish(self, entries, live):
--- a/dogwoodwheel/membership/view.py
+++ b/dogwoodwheel/membership/view.py
@@ -6,6 +6,8 @@
 
 __all__ = ["Entry", "Holding", "View", "partition_of", "rank"]
 
+DECIDERS_CACHED = 32_768
+
 
 @dataclasses.dataclass(frozen=True)
 class Holding:
@@ -140,8 +142,7 @@
         Two entries may name two deciders for a while; the versions of
         the rows that a decision writes keep them from both deciding.
         """
-        live = self.live or {self.me}
-        return max(live, key=lambda name: rank(name, model))
+        return _first(self.live or frozenset([self.me]), model)
 
     def usable(self, endpoint):
         """Tell whether an endpoint may receive new work."""
@@ -149,6 +150,11 @@
         return zone.state == "in" and endpoint.name not in self.leaving
 
 
+@functools.lru_cache(maxsize=DECIDERS_CACHED)
+def _first(live, model):
+    return max(live, key=lambda name: rank(name, model))
+
+
 def rank(name, key):
     """Return a uniform number for a name and a key, the same everywhere.
 
