Keep an endpoint's last slot from the class that goes last

Cause: priorities.feature, ten questions behind 16 audits at one warm engine of 8 slots: all ten waited, up to 4.4 s, since the queue's order cannot help while audits hold every slot. Ruled out: preemption, slots by class (docs/design/ENDPOINTS.md). Change: the last slot goes to lower ranks only, from 4 slots on. After: each question is answered before any audit ends.

--- a/dogwoodwheel/endpoints/grants.py
+++ b/dogwoodwheel/endpoints/grants.py
@@ -17,6 +17,7 @@
 HOPELESS_FACTOR = 2.0
 RETRY_AFTER_S = 1.0
 FIRST_EPOCH = 1
+KEEPS_FROM = 4
 PLAIN = "plain"
 
 
@@ -184,11 +185,27 @@
             return
         self.slots.wake(owner.orders.ready)
         while self.slots.in_flight < owner.limit:
-            ticket = self.slots.take()
+            ticket = self.slots.take(self._max_rank())
             if ticket is None:
                 return
             self._grant(ticket)
 
+    def _max_rank(self):
+        """Return the highest rank that may have the next slot.
+
+        Notes
+        -----
+        The last slot of an endpoint that bears several is kept from the
+        class that goes last: else its long requests hold every slot, and
+        a short one waits for the first of them to end.
+        """
+        limit = self.owner.limit
+        ranks = {c.rank for c in self.fleet.view.declaration.classes.values()}
+        kept = limit >= KEEPS_FROM and len(ranks) > 1
+        if not kept or self.slots.in_flight < limit - 1:
+            return math.inf
+        return max(ranks) - 1
+
     def _begin(self, ticket):
         if ticket.ask.model:
             self.owner.used_at[ticket.ask.model] = trio.current_time()
--- a/dogwoodwheel/endpoints/slots.py
+++ b/dogwoodwheel/endpoints/slots.py
@@ -160,12 +160,11 @@
             for ticket in self._cold.pop(model):
                 self._enqueue(ticket)
 
-    def take(self):
-        """Return the next ticket in turn, or None."""
-        if not self._tickets:
-            return None
-        ticket = self._queue.pop()
-        self._count(ticket, -1)
+    def take(self, max_rank=math.inf):
+        """Return the next ticket in turn of a rank, or None."""
+        ticket = self._queue.pop(max_rank)
+        if ticket is not None:
+            self._count(ticket, -1)
         return ticket
 
     def tickets(self, model=None):
--- a/dogwoodwheel/membership/configuration.py
+++ b/dogwoodwheel/membership/configuration.py
@@ -21,6 +21,7 @@
 BEAT_TIMEOUT_S = 1.5
 BEAT_FANOUT = 7
 STALE_S = 4.0
+HEARD_ENOUGH = 16
 
 
 class Configuration:
@@ -54,6 +55,7 @@
         self._heard = {}
         self._rejected = 0
         self._lock = trio.Lock()
+        self._accepting = trio.Lock()
 
     async def run(self):
         """Poll the row and exchange heartbeats, for ever."""
@@ -77,9 +79,10 @@
         Notes
         -----
         In an outage of the platform no entry hears of a new version, and
-        none can be accepted.  An entry that hears most of the others,
-        none of which reaches the platform, takes that for an outage and
-        goes on; one that hears fewer may be the only one cut off.
+        none can be accepted.  An entry that hears half of the others, or
+        `HEARD_ENOUGH` of them, none of which reaches the platform, takes
+        that for an outage and goes on; one that hears fewer may be the
+        only one cut off.
         """
         age = self.fresh_s()
         if age <= STALE_S or not self.version:
@@ -91,9 +94,8 @@
             for name, at in self._heard.items()
             if name in names and now - at <= STALE_S
         }
-        if (len(heard) + 1) * 2 > len(names) and len(names) > 1:
-            return 0.0
-        return age
+        enough = min(len(names) // 2, HEARD_ENOUGH)
+        return 0.0 if heard and len(heard) >= enough else age
 
     def usable(self):
         """Tell whether keyed work is admitted under this version."""
@@ -154,6 +156,10 @@
         bool
             Whether it is in force now.
         """
+        async with self._accepting:
+            return await self._accept(version, text)
+
+    async def _accept(self, version, text):
         if version <= self.version:
             return False
         try:
@@ -171,8 +177,6 @@
                 exc,
             )
             return False
-        if version <= self.version:
-            return False
         self.version = version
         self.text = text
         self.digest = objects.digest_of(text.encode())
--- a/dogwoodwheel/programs/gateways.py
+++ b/dogwoodwheel/programs/gateways.py
@@ -57,8 +57,18 @@
             self.leaving.add(link.peer.address)
 
     def open(self):
-        """Return the addresses of our gateways that do not leave."""
-        return tuple(a for a in self.public if a not in self.leaving)
+        """Return the addresses of our gateways that callers may use.
+
+        Notes
+        -----
+        Those that are connected here and do not leave.  Where none of
+        the addresses is one that a gateway told, callers reach all of
+        them by other addresses, and all are named.
+        """
+        told = set(self._links) & set(self.public)
+        if self._links and not told:
+            told = set(self.public)
+        return tuple(a for a in self.public if a in told - self.leaving)
 
     def entries(self):
         """Return the addresses that callers should use, shuffled.
--- /dev/null
+++ b/features/priorities.feature
@@ -0,0 +1,11 @@
+Feature: Short questions do not wait behind long audits
+
+  Scenario: Audits in the last class hold every slot but one
+    Given a scene of 2 entries and 1 engines
+    And the customer "frost" with the keys "k1" and "k2"
+    And the scene runs
+    And the engine is warm
+    When 16 audits of 1500 tokens are sent in the class "batch"
+    And 10 questions of 5 tokens follow in the class "normal"
+    Then each question is answered before any audit ends
+    And each audit is answered whole
