--- a/dogwoodwheel/programs/coordinator.py
+++ b/dogwoodwheel/programs/coordinator.py
@@ -4,7 +4,6 @@
 import functools
 import pathlib
 import signal
-import sys
 import uuid
 
 import cyclopts
@@ -30,7 +29,6 @@
 from dogwoodwheel.programs import admin
 from dogwoodwheel.programs import gateways as gateways_module
 from dogwoodwheel.programs import handlers
-from dogwoodwheel.programs import logs
 from dogwoodwheel.programs import metrics as metrics_module
 from dogwoodwheel.programs import report
 from dogwoodwheel.programs import running
@@ -44,7 +42,6 @@
 LEAVE_TIMEOUT_S = 20.0
 GATEWAYS_TIMEOUT_S = 600.0
 GAUGES_S = 1.0
-USAGE = 2
 
 app = cyclopts.App(
     name="dogwoodwheel-coordinator",
@@ -125,12 +122,9 @@
     settings
         YAML file of this process.
     """
-    try:
-        cfg = settings_module.CoordinatorSettings.from_file(settings)
-    except exceptions.SettingsError as exc:
-        sys.exit(f"dogwoodwheel-coordinator: {exc}")
-    logs.set_up(cfg.log_format, cfg.log_level, "coordinator", cfg.name)
-    running.run("dogwoodwheel-coordinator", serve, cfg)
+    running.run(
+        "coordinator", settings_module.CoordinatorSettings, settings, serve
+    )
 
 
 async def serve(cfg):
--- a/dogwoodwheel/programs/gateway.py
+++ b/dogwoodwheel/programs/gateway.py
@@ -4,7 +4,6 @@
 import pathlib
 import signal
 import socket
-import sys
 import uuid
 
 import cyclopts
@@ -17,8 +16,8 @@
 from dogwoodwheel import exceptions
 from dogwoodwheel.platform import table as table_module
 from dogwoodwheel.programs import admin
-from dogwoodwheel.programs import logs
 from dogwoodwheel.programs import metrics as metrics_module
+from dogwoodwheel.programs import running
 from dogwoodwheel.programs import settings as settings_module
 from dogwoodwheel.requests import app as app_module
 from dogwoodwheel.requests import control as control_module
@@ -52,24 +51,7 @@
     settings
         YAML file of this process.
     """
-    try:
-        cfg = settings_module.GatewaySettings.from_file(settings)
-    except exceptions.SettingsError as exc:
-        sys.exit(f"dogwoodwheel-gateway: {exc}")
-    logs.set_up(cfg.log_format, cfg.log_level, "gateway", cfg.name)
-    faults = []
-    try:
-        trio.run(serve, cfg)
-    except* OSError as group:
-        faults.extend(group.exceptions)
-    if faults:
-        sys.exit(f"dogwoodwheel-gateway: {_leaf(faults[0])}")
-
-
-def _leaf(exc):
-    while isinstance(exc, BaseExceptionGroup):
-        exc = exc.exceptions[0]
-    return exc
+    running.run("gateway", settings_module.GatewaySettings, settings, serve)
 
 
 async def serve(cfg):
