--- a/dogwoodwheel/membership/assign.py
+++ b/dogwoodwheel/membership/assign.py
@@ -4,7 +4,16 @@
 
 from dogwoodwheel.membership import view
 
-__all__ = ["Move", "moved", "target", "to_claim", "to_hand", "to_take"]
+__all__ = [
+    "Move",
+    "heir",
+    "moved",
+    "target",
+    "to_claim",
+    "to_hand",
+    "to_take",
+    "without",
+]
 
 SHARE = "share"
 HOLDING = "holding"
@@ -152,3 +161,45 @@
     return left, dataclasses.replace(
         receiver, shares=shares, holdings=holdings
     )
+
+
+def heir(mine, last, incarnation):
+    """Return an entry with what the process before it held.
+
+    Parameters
+    ----------
+    mine, last : Entry
+        Of the same name.
+    incarnation : str
+
+    Returns
+    -------
+    Entry
+    """
+    holdings = {
+        part: view.Holding(held.epoch + 1, _others(held.prior, last.name))
+        for part, held in last.holdings.items()
+    }
+    return dataclasses.replace(
+        mine,
+        incarnation=incarnation,
+        shares=last.shares,
+        holdings=holdings,
+        row=last.row,
+    )
+
+
+def _others(prior, name):
+    """Return the earlier holders that are not of one entry."""
+    return tuple((other, inc) for other, inc in prior if other != name)
+
+
+def without(entry, mine):
+    """Return an entry without what another one's row says it holds."""
+    return dataclasses.replace(
+        entry,
+        shares={p: e for p, e in entry.shares.items() if p not in mine.shares},
+        holdings={
+            p: h for p, h in entry.holdings.items() if p not in mine.holdings
+        },
+    )
--- a/dogwoodwheel/membership/registrar.py
+++ b/dogwoodwheel/membership/registrar.py
@@ -7,6 +7,7 @@
 import trio
 
 from dogwoodwheel import exceptions
+from dogwoodwheel.membership import assign
 from dogwoodwheel.membership import rows
 from dogwoodwheel.membership import sightings
 from dogwoodwheel.membership import transfers
@@ -88,7 +89,7 @@
             self.fleet.incarnation = sightings.next_incarnation(
                 last.incarnation, self.fleet.incarnation.partition(".")[2]
             )
-            mine = _heir(mine, last, self.fleet.incarnation)
+            mine = assign.heir(mine, last, self.fleet.incarnation)
         await self._write(mine)
         self.rights.gained(mine.shares, full=False)
         logger.info(
@@ -292,7 +293,7 @@
     def publish_moves(self):
         """Show in the view what a commit of ours has moved."""
         entries = {
-            name: _without(entry, self.row)
+            name: assign.without(entry, self.row)
             for name, entry in self.fleet.view.entries.items()
         }
         entries[self.fleet.me] = self.row
@@ -322,34 +323,3 @@
             raise
         except exceptions.ConflictError:
             return False
-
-
-def _heir(mine, last, incarnation):
-    """Return our entry with what the process before us held."""
-    holdings = {
-        part: view.Holding(held.epoch + 1, _others(held.prior, last.name))
-        for part, held in last.holdings.items()
-    }
-    return dataclasses.replace(
-        mine,
-        incarnation=incarnation,
-        shares=last.shares,
-        holdings=holdings,
-        row=last.row,
-    )
-
-
-def _others(prior, name):
-    """Return the earlier holders that are not of one entry."""
-    return tuple((other, inc) for other, inc in prior if other != name)
-
-
-def _without(entry, mine):
-    """Return an entry without what our row says that we hold."""
-    return dataclasses.replace(
-        entry,
-        shares={p: e for p, e in entry.shares.items() if p not in mine.shares},
-        holdings={
-            p: h for p, h in entry.holdings.items() if p not in mine.holdings
-        },
-    )
