Estimate a wait by what goes before it only

Cause: reading the owner's early refusal: it counted all of a customer's waiting requests, so a question was refused for the audits that wait behind it. A scenario that asks after 14 of 60 audits have ended showed it: all ten questions got 504, not run, though a slot was kept for them. Ruled out: the kept slot, which was free. Change: only tickets of the same or a lower rank count.

--- a/dogwoodwheel/endpoints/grants.py
+++ b/dogwoodwheel/endpoints/grants.py
@@ -291,7 +291,9 @@
         reason = owner.closed_reason()
         if reason is not None:
             return self._unavailable(reason)
-        wait_s = self.slots.expected_wait_s(ask.customer, owner.warmup.full)
+        wait_s = self.slots.expected_wait_s(
+            ask.customer, self._rank(ask), owner.warmup.full
+        )
         if ask.model and not owner.orders.ready(ask.model):
             wait_s = owner.orders.loader.left_s(ask.model)
         # An estimate; only what is far too late is refused by it.
--- a/dogwoodwheel/endpoints/slots.py
+++ b/dogwoodwheel/endpoints/slots.py
@@ -120,17 +120,22 @@
         slots = [*self.granted.values(), *self._lingering_slots()]
         return sum(slot.model == model for slot in slots)
 
-    def expected_wait_s(self, customer, limit):
+    def expected_wait_s(self, customer, rank, limit):
         """Return the seconds that a new ticket would wait, about.
 
         Notes
         -----
-        A customer waits for its own tickets and, at equal weights, for
-        as many of each other customer, never for more than all.
+        A ticket waits for those of its own customer that do not go after
+        it and, at equal weights, for as many of each other customer,
+        never for more than all.
         """
-        active = sum(count > 0 for count in self._queued.values())
-        own = self._queued[customer]
-        ahead = min(len(self._tickets), (own + 1) * max(active, 1))
+        active = {who for (who, _), n in self._queued.items() if n}
+        own = sum(
+            count
+            for (who, other), count in self._queued.items()
+            if who == customer and other <= rank
+        )
+        ahead = min(len(self._tickets), (own + 1) * max(len(active), 1))
         if self.in_flight < limit and not self._tickets:
             return 0.0
         return ahead * self.took_s / max(limit, 1)
@@ -257,7 +262,7 @@
             self._tickets[ticket] = None
         else:
             del self._tickets[ticket]
-        self._queued[ticket.ask.customer] += step
+        self._queued[ticket.ask.customer, ticket.rank] += step
         self._queued_models[ticket.ask.model] += step
 
     def _note(self, now):
--- a/features/steps/priority_steps.py
+++ b/features/steps/priority_steps.py
@@ -10,31 +10,32 @@
 from features.standins import process
 
 MODEL = "frames"
-HEADER = "X-Priority"
+PATIENT_S = 60
 WARM_S = 30.0
 
 
-def ask(context, index, tokens, priority):
+def ask(context, index, tokens, priority, deadline_s=PATIENT_S):
     """Return the reply to a chat, sent to the entries in turn."""
     names = sorted(context.fleet.entries)
     entry = context.fleet.entries[names[index % len(names)]]
-    one = entry.caller(builders.key_of("k1"), timeout_s=60.0)
-    headers = {HEADER: priority}
+    one = entry.caller(builders.key_of("k1"), timeout_s=90.0)
+    deadline_ms = str(deadline_s * 1000)
+    headers = {"X-Priority": priority, "X-Deadline-Ms": deadline_ms}
     prompt = f"{priority} {index} tokens={tokens}"
     return one.chat(MODEL, prompt, headers=headers)
 
 
-def begin(context, count, tokens, priority):
+def begin(context, count, tokens, priority, deadline_s=PATIENT_S):
     """Begin chats; return their futures."""
     return [
-        context.pool.submit(ask, context, index, tokens, priority)
+        context.pool.submit(ask, context, index, tokens, priority, deadline_s)
         for index in range(count)
     ]
 
 
 @given("the engine is warm")
 def step_warm(context):
-    context.pool = concurrent.futures.ThreadPoolExecutor(32)
+    context.pool = concurrent.futures.ThreadPoolExecutor(64)
     engine = context.fleet.endpoints["w0"]
 
     def warm():
@@ -58,16 +59,34 @@
     )
 
 
-@when('{count:d} questions of {tokens:d} tokens follow in the class "{name}"')
-def step_questions(context, count, tokens, name):
-    context.questions = begin(context, count, tokens, name)
+@when(
+    '{count:d} questions of {tokens:d} tokens follow in the class "{name}" '
+    "within {seconds:d} s"
+)
+def step_questions(context, count, tokens, name, seconds):
+    context.questions = begin(context, count, tokens, name, seconds)
+
+
+@when("{count:d} of the audits have ended")
+def step_audits_ended(context, count):
+    process.wait_for(
+        lambda: sum(future.done() for future in context.audits) >= count,
+        PATIENT_S,
+        f"{count} audits to end",
+    )
+
+
+@then("each question is answered")
+def step_answered(context):
+    replies = [future.result() for future in context.questions]
+    bad = [(r.status, r.body[:200]) for r in replies if r.status != 200]
+    assert not bad, bad
 
 
 @then("each question is answered before any audit ends")
 def step_questions_first(context):
+    step_answered(context)
     questions = [future.result() for future in context.questions]
-    codes = [reply.status for reply in questions]
-    assert codes == [200] * len(codes), codes
     audits = [future.result() for future in context.audits]
     first = min(reply.ended for reply in audits)
     late = [r.took_s for r in questions if r.ended > first]
