Try the next endpoint where one is too late; judge stale entries by code

Cause: reading admission: an owner's early refusal ended the search though another replica may have a shorter queue; a service's only endpoint, once a try had failed there, was avoided until the deadline. Change: a refusal as too late moves on to the next endpoint; endpoints that failed come last in place of never; the step asks for the code config_stale, which is stricter.

--- a/dogwoodwheel/requests/admission.py
+++ b/dogwoodwheel/requests/admission.py
@@ -17,6 +17,7 @@
 MARGIN_S = 0.05
 SLOT_MARGIN_S = 0.5
 DECIDER_TIMEOUT_S = 3.0
+TOO_LATE = "deadline"
 AGAIN = frozenset(["endpoint_unavailable", "not_owner", "model_not_there"])
 
 
@@ -94,32 +95,44 @@
         )
 
     async def _place(self, ask, until):
-        avoid = set(ask.avoid)
         last = _deadline(ask)
         while trio.current_time() < until:
-            names = await self._candidates(ask, avoid, until)
+            names = await self._candidates(ask, until)
             if isinstance(names, messages.Refusal):
-                if names.code not in AGAIN:
-                    return names
                 last = names
-            for name in names if isinstance(names, tuple) else ():
-                reply = await self._slot(ask, name, until)
-                if isinstance(reply, messages.Grant):
-                    return reply
-                last = reply
-                if reply.code not in AGAIN:
-                    return reply
+            else:
+                last = await self._first_slot(ask, names, until)
+            if isinstance(last, messages.Grant) or last.code not in AGAIN:
+                return last
             # Others may just have freed what we need; ask anew.
-            avoid = set(ask.avoid)
             await trio.sleep(PAUSE_S * (0.5 + random.random()))
         return last if last.code != "not_owner" else _deadline(ask)
 
-    async def _candidates(self, ask, avoid, until):
+    async def _first_slot(self, ask, names, until):
+        """Return a slot at the first endpoint that has one in time.
+
+        Notes
+        -----
+        An owner refuses early where its queue is too long; another
+        endpoint may have a shorter one.
+        """
+        last = _unavailable("no endpoint is decided yet")
+        for name in names:
+            reply = await self._slot(ask, name, until)
+            if isinstance(reply, messages.Grant):
+                return reply
+            if last.code in AGAIN or reply.code not in AGAIN:
+                last = reply
+            if reply.code not in AGAIN and reply.code != TOO_LATE:
+                break
+        return last
+
+    async def _candidates(self, ask, until):
         """Return endpoints that may serve a request, best first."""
         if not ask.model:
-            return self._plain(ask, avoid)
+            return self._plain(ask)
         left_s = until - trio.current_time()
-        msg = messages.Ensure(0, ask.model, left_s, tuple(avoid))
+        msg = messages.Ensure(0, ask.model, left_s, ask.avoid)
         reply = await self._ensure(msg, left_s)
         if isinstance(reply, messages.Refusal):
             return reply
@@ -139,14 +152,12 @@
         except exceptions.PeerError as exc:
             return _unavailable(str(exc))
 
-    def _plain(self, ask, avoid):
+    def _plain(self, ask):
         current = self.fleet.view
         names = tuple(
             endpoint.name
             for endpoint in current.declaration.endpoints.values()
-            if endpoint.service == ask.service
-            and endpoint.name not in avoid
-            and current.usable(endpoint)
+            if endpoint.service == ask.service and current.usable(endpoint)
         )
         if not names:
             return _unavailable(
@@ -159,13 +170,16 @@
 
         Notes
         -----
-        Ties go by rendezvous of the prompt's beginning, so that equal
-        beginnings meet the same prefix cache, else at random.
+        Those that an earlier try failed at come last, as the only ones
+        may be among them.  Ties go by rendezvous of the prompt's
+        beginning, so that equal beginnings meet the same prefix cache,
+        else at random.
         """
         salt = ask.affinity or str(random.random())
 
         def key(name):
-            return self.slots.count(name), view.rank(name, salt)
+            failed = name in ask.avoid
+            return failed, self.slots.count(name), view.rank(name, salt)
 
         return tuple(sorted(names, key=key))
 
@@ -235,7 +249,7 @@
 def _deadline(ask):
     return messages.Refusal(
         0,
-        "deadline",
+        TOO_LATE,
         f"no endpoint could serve this within {ask.deadline_s:.1f} s; "
         f"allow more time or try later",
         status=504,
--- a/features/steps/key_steps.py
+++ b/features/steps/key_steps.py
@@ -16,7 +16,6 @@
 PATIENT_S = 15
 OK = 200
 UNAUTHORIZED = 401
-UNAVAILABLE = 503
 
 
 @given('the customer "{name}" with the keys "{first}" and "{second}"')
@@ -52,10 +51,12 @@
 
 
 def refused(reply):
-    """Tell whether a request was refused as not run."""
-    return reply.status in (UNAUTHORIZED, UNAVAILABLE) and (
-        reply.run == "not_run"
-    )
+    """Tell whether a request was refused for its key, as not run."""
+    if reply.run != "not_run":
+        return False
+    # An entry that cannot know says so; other refusals prove nothing.
+    stale = reply.json["error"]["code"] == "config_stale"
+    return reply.status == UNAUTHORIZED or stale
 
 
 def shown(replies):
