--- a/dogwoodwheel/membership/configuration.py
+++ b/dogwoodwheel/membership/configuration.py
@@ -21,7 +21,6 @@
 BEAT_TIMEOUT_S = 1.5
 BEAT_FANOUT = 7
 STALE_S = 4.0
-HEARD_ENOUGH = 16
 
 
 class Configuration:
@@ -79,10 +78,11 @@
         Notes
         -----
         In an outage of the platform no entry hears of a new version, and
-        none can be accepted.  An entry that hears half of the others, or
-        `HEARD_ENOUGH` of them, none of which reaches the platform, takes
-        that for an outage and goes on; one that hears fewer may be the
-        only one cut off.
+        none can be accepted.  An entry that hears half of the others,
+        none of which reaches the platform, takes that for an outage and
+        goes on; one that hears fewer may be the only one cut off.  A
+        smaller sample would do beyond 50 entries, but a region that is
+        cut off would then go on with withdrawn keys.
         """
         age = self.fresh_s()
         if age <= STALE_S or not self.version:
@@ -94,8 +94,7 @@
             for name, at in self._heard.items()
             if name in names and now - at <= STALE_S
         }
-        enough = min(len(names) // 2, HEARD_ENOUGH)
-        return 0.0 if heard and len(heard) >= enough else age
+        return 0.0 if heard and len(heard) >= len(names) // 2 else age
 
     def usable(self):
         """Tell whether keyed work is admitted under this version."""
