Never give a test's process the port of another one

Cause: a gateway of one run failed on an address in use: a port is asked of the kernel and let go until the process starts, so it may be named again; with some 500 entries a whole run that is to be expected at times. Change: an address that was given is not given again.

--- a/features/standins/machines.py
+++ b/features/standins/machines.py
@@ -12,13 +12,24 @@
 START_S = 30.0
 STOP_S = 30.0
 TIMEOUT_S = 5.0
+GIVEN = set()
 
 
 def free_address(host):
-    """Return ``IP:PORT`` of a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return f"{host}:{sock.getsockname()[1]}"
+    """Return ``IP:PORT`` of a port that is free, never the same twice.
+
+    Notes
+    -----
+    A port stays free until its process starts, so the kernel may name
+    it again to the next one who asks.
+    """
+    while True:
+        with socket.socket() as sock:
+            sock.bind((host, 0))
+            address = f"{host}:{sock.getsockname()[1]}"
+        if address not in GIVEN:
+            GIVEN.add(address)
+            return address
 
 
 class Endpoint:
