Tell at once when a gateway connects; ask the list until it is whole

Since only connected gateways are listed, an entry's row lacked its own until the next heartbeat, up to 1 s. Change: a gateway that connects or leaves makes the row be written at once; the step waits, at most 5 s, until both entries are listed, which it took for granted, and else fails.

--- a/dogwoodwheel/programs/coordinator.py
+++ b/dogwoodwheel/programs/coordinator.py
@@ -158,6 +158,7 @@
     handle = functools.partial(_handle, parts)
     parts.fleet.handle = handle
     parts.registrar.public = parts.gateways.open
+    parts.gateways.changed = parts.registrar.kick
     parts.fleet.peers = peers_module.Peers(
         peers_module.hello_of(cfg, parts.fleet.incarnation),
         handle,
--- a/dogwoodwheel/programs/gateways.py
+++ b/dogwoodwheel/programs/gateways.py
@@ -23,6 +23,11 @@
     configuration : dogwoodwheel.membership.configuration.Configuration
     slots : dogwoodwheel.requests.inflight.InFlightTable
     nursery : trio.Nursery
+
+    Attributes
+    ----------
+    changed : callable
+        Told whenever `open` may have changed.
     """
 
     def __init__(self, fleet, configuration, slots, nursery):
@@ -30,6 +35,7 @@
         self.configuration = configuration
         self.slots = slots
         self.nursery = nursery
+        self.changed = lambda: None
         self.leaving = set()
         self.public = fleet.settings.public
         self._links = {}
@@ -55,6 +61,7 @@
         """Take a gateway's notice that it leaves."""
         if msg.leaving:
             self.leaving.add(link.peer.address)
+            self.changed()
 
     def open(self):
         """Return the addresses of our gateways that callers may use.
@@ -116,6 +123,7 @@
         peer = link.peer
         self._links[peer.address] = link
         self.leaving.discard(peer.address)
+        self.changed()
         logger.info("gateways: connected gateway={}", peer.address)
         for held in self.slots.of_older(peer.address, peer.incarnation):
             # A newer process serves that address: the older one ended.
--- a/features/steps/openai_steps.py
+++ b/features/steps/openai_steps.py
@@ -9,9 +9,11 @@
 from features import request_fleet
 from features.standins import answers
 from features.standins import caller
+from features.standins import process
 
 TIMEOUT_S = 40.0
 TAKE_OVER_MS = 30_000
+LISTED_S = 5.0
 
 
 def client(address, key=None):
@@ -125,10 +127,18 @@
     assert exc.body["run"] == "unknown", exc.body
 
 
+def listed(context, count):
+    """Return the addresses to use, once there are as many."""
+    found = context.fleet.entries["e0"].caller().get("/v1/entries").json
+    return found["entries"] if len(found["entries"]) == count else None
+
+
 @when("the first address of GET /v1/entries is killed")
 def step_kill_first(context):
-    found = context.fleet.entries["e0"].caller().get("/v1/entries").json
-    context.addresses = found["entries"]
+    count = len(context.fleet.entries)
+    context.addresses = process.wait_for(
+        lambda: listed(context, count), LISTED_S, f"{count} addresses"
+    )
     for entry in context.fleet.entries.values():
         if entry.gateways[0] == context.addresses[0]:
             entry.kill()
