Give a presumed outage the age of what was heard

The entry's age fell to 0 for as long as half of the others had been heard within 4 s, and its gateway then trusted that for 4 s more. Change: the age is that of the hearing that makes the half.

--- a/dogwoodwheel/membership/configuration.py
+++ b/dogwoodwheel/membership/configuration.py
@@ -50,7 +50,6 @@
         self.text = ""
         self.leaving = False
         self._fresh_at = -math.inf
-        self._reached_at = -math.inf
         self._heard = {}
         self._rejected = 0
         self._lock = trio.Lock()
@@ -82,19 +81,22 @@
         none of which reaches the platform, takes that for an outage and
         goes on; one that hears fewer may be the only one cut off.  A
         smaller sample would do beyond 50 entries, but a region that is
-        cut off would then go on with withdrawn keys.
+        cut off would then go on with withdrawn keys.  The age is then
+        that of the hearing, so it passes `STALE_S` as soon as a version
+        that was read would.
         """
         age = self.fresh_s()
         if age <= STALE_S or not self.version:
             return age
         now = trio.current_time()
         names = set(self.fleet.view.entries) | {self.fleet.me}
-        heard = {
-            name
-            for name, at in self._heard.items()
-            if name in names and now - at <= STALE_S
-        }
-        return 0.0 if heard and len(heard) >= len(names) // 2 else age
+        heard = sorted(
+            now - at for name, at in self._heard.items() if name in names
+        )
+        enough = max(1, len(names) // 2)
+        if len(heard) < enough:
+            return age
+        return min(age, heard[enough - 1])
 
     def usable(self):
         """Tell whether keyed work is admitted under this version."""
@@ -192,7 +194,6 @@
         """
         began = trio.current_time()
         row = await self.tbl.read(TABLE, CURRENT)
-        self._reached_at = began
         version = row.value.get("version", 0)
         if version > self.version:
             data = await self.store.get(row.value["digest"])
