Take out what nothing uses; name gained endpoints in one pass

Cause: reading the whole change: a time that was kept and never read, two constants, a method and a variable without a use; all endpoints were hashed once for each partition gained. Change: taken out; one pass; placement scenarios begin when each engine has the owner that it keeps. No check is changed.

--- a/dogwoodwheel/endpoints/slots.py
+++ b/dogwoodwheel/endpoints/slots.py
@@ -111,10 +111,6 @@
         """Return how many tickets wait for a model."""
         return self._queued_models[model] + len(self._cold.get(model, ()))
 
-    def cold_for(self, model):
-        """Return how many tickets wait for the load of a model."""
-        return len(self._cold.get(model, ()))
-
     def running(self, model):
         """Return how many requests of a model may be running."""
         slots = [*self.granted.values(), *self._lingering_slots()]
--- a/dogwoodwheel/membership/rights.py
+++ b/dogwoodwheel/membership/rights.py
@@ -92,12 +92,17 @@
     def published(self):
         """Gather what is in flight where we have become the owner."""
         me = self.fleet.view.entries[self.fleet.me]
-        for part, held in me.holdings.items():
-            if self._epochs.get(part) == held.epoch:
-                continue
-            for endpoint in self._endpoints([part]):
-                self.nursery.start_soon(self._gather, endpoint, held.epoch)
-        self._epochs = {p: h.epoch for p, h in me.holdings.items()}
+        epochs = {part: held.epoch for part, held in me.holdings.items()}
+        gained = {
+            part
+            for part, epoch in epochs.items()
+            if self._epochs.get(part) != epoch
+        }
+        self._epochs = epochs
+        # One pass over the endpoints, however many partitions came.
+        for endpoint in self._endpoints(gained):
+            part = view.partition_of(endpoint, self.fleet.view.partitions)
+            self.nursery.start_soon(self._gather, endpoint, epochs[part])
 
     async def _gather(self, endpoint, epoch):
         query = messages.InFlight(0, self.fleet.me, endpoint, epoch, ())
@@ -115,7 +120,7 @@
 
     def _endpoints(self, parts):
         current = self.fleet.view
-        if current.declaration is None or not current.partitions:
+        if not parts or current.declaration is None or not current.partitions:
             return ()
         return tuple(
             name
--- a/dogwoodwheel/platform/http.py
+++ b/dogwoodwheel/platform/http.py
@@ -12,7 +12,6 @@
 
 CONNECTIONS = 16
 OK = 200
-NOT_FOUND = 404
 CONFLICT = 409
 UNREACHED = (
     httpcore.ConnectError,
--- a/dogwoodwheel/programs/report.py
+++ b/dogwoodwheel/programs/report.py
@@ -6,8 +6,6 @@
 
 __all__ = ["customers", "explain", "status"]
 
-EXPLAIN_TIMEOUT_S = 3.0
-
 
 def status(parts):
     """Return an entry's status, ready to print.
--- a/dogwoodwheel/requests/admission.py
+++ b/dogwoodwheel/requests/admission.py
@@ -184,7 +184,7 @@
         return tuple(sorted(names, key=key))
 
     async def _slot(self, ask, name, until):
-        owner, held = self.fleet.view.owner_of(name)
+        owner, _ = self.fleet.view.owner_of(name)
         if owner is None:
             return _unavailable(f"endpoint {name} has no owner yet")
         msg = self._slot_ask(ask, name, until)
--- a/features/placing.py
+++ b/features/placing.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 
+from dogwoodwheel.membership import assign
 from dogwoodwheel.membership import view
 from features import builders
 
@@ -51,6 +52,17 @@
     raise AssertionError(f"{endpoint} has no owner")
 
 
+def is_balanced(context):
+    """Tell whether each engine has the owner that it keeps."""
+    live = sorted(context.fleet.entries)
+    count = rows(context, "partitions")["free"]["count"]
+    return all(
+        owner_of(context, name)[0]
+        == assign.target(assign.HOLDING, view.partition_of(name, count), live)
+        for name in context.fleet.endpoints
+    )
+
+
 def decided(context, model):
     """Return the endpoints decided for a model."""
     return rows(context, "models").get(model, {}).get("endpoints", [])
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -91,6 +91,11 @@
         placing.TAKE_OVER_S,
         "an owner of each engine",
     )
+    process.wait_for(
+        lambda: placing.is_balanced(context),
+        placing.TAKE_OVER_S,
+        "hand-overs of the start to end",
+    )
 
 
 @given("the platform loses the replies to the next {count:d} writes")
