--- a/dogwoodwheel/engines/connections.py
+++ b/dogwoodwheel/engines/connections.py
@@ -1,80 +1,214 @@
-"""TCP connections to endpoints, as httpcore uses them."""
+"""One HTTP/1.1 connection to an endpoint.
 
-import math
+Notes
+-----
+Written on h11 since forwarding needs what the usual clients hide: the
+reply may come before the request has been sent whole, bytes may follow
+a whole reply, and it matters whether any byte of a request was sent.
+"""
 
-import httpcore
-import trio
-
-__all__ = ["Backend", "Wire"]
+import errno
+import socket
 
+import h11
+import trio
 
-class Wire(httpcore.AsyncNetworkStream):
-    """A connection that tells when all that came has been taken.
+from dogwoodwheel import exceptions
+
+__all__ = ["Connection"]
+
+READ_BYTES = 65536
+# A request of this size fits into the socket's buffer, so sending it
+# cannot wait for a peer that answers without reading.
+SMALL_BYTES = 16 * 1024
+# Probes of an idle peer, seconds: a connection that went silent without
+# a reset is noticed within KEEPALIVE_IDLE_S + 2 * KEEPALIVE_INTERVAL_S.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# Time for which sent bytes may stay unacknowledged, milliseconds.
+UNACKNOWLEDGED_MS = 3000
+OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+)
+
+
+class Connection:
+    """An HTTP/1.1 connection that carries one exchange at a time.
 
     Parameters
     ----------
+    address : str
+        ``IP:PORT``.
     stream : trio.SocketStream
+
+    Attributes
+    ----------
+    idle_at : float
+        Time of trio's clock at which the last exchange ended.
+    idle_s : float
+        Seconds after which the peer closes it when unused.
+    used : bool
+        Whether an exchange went over it before.
     """
 
-    def __init__(self, stream):
+    def __init__(self, address, stream):
+        self.address = address
+        self.idle_at = trio.current_time()
+        self.idle_s = 0.0
+        self.used = False
         self._stream = stream
-        self.on_drained = None
-
-    async def read(self, max_bytes, timeout=None):
-        if self.on_drained is None:
-            return await self._read_within(max_bytes, timeout)
-        await self.on_drained()
-        # A scope for each read would cost a fifth of a chunk's time, and
-        # so would trying first what has just been found drained.
-        await trio.lowlevel.wait_readable(self._stream.socket)
-        return await self._read(max_bytes)
-
-    async def write(self, buffer, timeout=None):
-        if not buffer:
-            return
+        self._http = h11.Connection(h11.CLIENT)
+        self._sent_whole = False
+
+    @classmethod
+    async def connect(cls, address, timeout_s):
+        """Return a new connection.
+
+        Raises
+        ------
+        NotSentError
+            If the endpoint cannot be reached within the time.
+        """
+        host, _, port = address.rpartition(":")
+        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            with trio.fail_after(math.inf if timeout is None else timeout):
-                await self._stream.send_all(buffer)
-        except trio.TooSlowError as exc:
-            raise httpcore.WriteTimeout(exc) from exc
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-            raise httpcore.WriteError(exc) from exc
-
-    async def aclose(self):
-        await self._stream.aclose()
-
-    def get_extra_info(self, info):
-        if info == "is_readable":
-            return self._stream.socket.is_readable()
-        return None
-
-    async def _read_within(self, max_bytes, timeout):
-        try:
-            with trio.fail_after(math.inf if timeout is None else timeout):
-                return await self._read(max_bytes)
-        except trio.TooSlowError as exc:
-            raise httpcore.ReadTimeout(exc) from exc
-
-    async def _read(self, max_bytes):
+            for level, option, value in OPTIONS:
+                sock.setsockopt(level, option, value)
+            with trio.fail_after(timeout_s):
+                await sock.connect((host, int(port)))
+        except (OSError, ValueError, trio.TooSlowError) as exc:
+            sock.close()
+            raise exceptions.NotSentError(
+                f"{address} cannot be reached ({exc!r}); is it up?"
+            ) from exc
+        except BaseException:
+            sock.close()
+            raise
+        return cls(address, trio.SocketStream(sock))
+
+    def is_quiet(self):
+        """Tell whether nothing came since the last exchange."""
+        return not self._stream.socket.is_readable()
+
+    @property
+    def is_reusable(self):
+        """Whether another exchange may follow the one that ended."""
+        return (
+            self._sent_whole
+            and self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+            and not self._http.trailing_data[0]
+        )
+
+    def recycle(self):
+        """Get ready for the next exchange."""
+        self._http.start_next_cycle()
+        self.used = True
+        self.idle_at = trio.current_time()
+
+    async def send(self, method, target, headers, body):
+        """Send a request, or as much of it as the peer takes.
+
+        Notes
+        -----
+        A peer that answers or closes before it has read all ends the
+        sending; its reply is there to be read.
+        """
+        self._sent_whole = False
+        data = self._http.send(
+            h11.Request(method=method, target=target, headers=headers)
+        )
+        if body:
+            data += self._http.send(h11.Data(data=body))
+        data += self._http.send(h11.EndOfMessage())
+        if len(data) <= SMALL_BYTES:
+            await self._write(data)
+        else:
+            await self._write_until_answered(data)
+
+    async def _write(self, data):
         try:
-            return await self._stream.receive_some(max_bytes)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-            raise httpcore.ReadError(exc) from exc
-
+            await self._stream.send_all(data)
+            self._sent_whole = True
+        except trio.BrokenResourceError:
+            # The reply may have come before the peer closed; it is read
+            # next, and its absence is the error that counts.
+            pass
+
+    async def _write_until_answered(self, data):
+        async with trio.open_nursery() as nursery:
+
+            async def write():
+                await self._write(data)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(write)
+            await trio.lowlevel.wait_readable(self._stream.socket)
+            nursery.cancel_scope.cancel()
+
+    async def head(self):
+        """Return the `h11.Response` of the exchange.
+
+        Raises
+        ------
+        ReplyError
+            If none came.
+        """
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise self._broken("no head")
+
+    async def parts(self, on_drained=None):
+        """Yield the parts of the reply's body.
+
+        Raises
+        ------
+        ReplyError
+            If the body is shorter than declared or malformed.
+        """
+        while True:
+            event = await self._next(on_drained)
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise self._broken("no whole body")
 
-class Backend(httpcore.AsyncNetworkBackend):
-    """Connections as `Wire`."""
+    async def aclose(self):
+        """Close the connection, without waiting."""
+        await trio.aclose_forcefully(self._stream)
 
-    async def connect_tcp(
-        self, host, port, timeout=None, local_address=None, socket_options=None
-    ):
+    async def _next(self, on_drained=None):
         try:
-            with trio.fail_after(math.inf if timeout is None else timeout):
-                return Wire(await trio.open_tcp_stream(host, port))
-        except trio.TooSlowError as exc:
-            raise httpcore.ConnectTimeout(exc) from exc
+            while True:
+                event = self._http.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                if on_drained is not None:
+                    await on_drained()
+                self._http.receive_data(
+                    await self._stream.receive_some(READ_BYTES)
+                )
+        except h11.RemoteProtocolError as exc:
+            raise self._broken(exc) from exc
+        except trio.BrokenResourceError as exc:
+            raise self._broken(exc) from exc
+        except trio.ClosedResourceError as exc:
+            raise self._broken(exc) from exc
         except OSError as exc:
-            raise httpcore.ConnectError(exc) from exc
+            raise self._broken(errno.errorcode.get(exc.errno, exc)) from exc
 
-    async def sleep(self, seconds):
-        await trio.sleep(seconds)
+    def _broken(self, why):
+        return exceptions.ReplyError(
+            f"{self.address} broke off a reply ({why}); look at its log"
+        )
--- a/dogwoodwheel/engines/exchange.py
+++ b/dogwoodwheel/engines/exchange.py
@@ -2,16 +2,17 @@
 
 Notes
 -----
-The protocol is plain HTTP/1.1.  A connection returns to its pool only
-after a whole reply.  A reply is matched to its request by the header
-``X-Request-Id``: an endpoint that gives it back keeps its connections
-open, one that never did so gets a fresh connection for each request.
+The protocol is plain HTTP/1.1.  A connection is kept only after a whole
+reply that nothing follows.  A reply is matched to its request by the
+header ``X-Request-Id``: a connection is kept only where the endpoint
+gave it back.
 """
 
 import contextlib
 import dataclasses
+import math
+import re
 
-import httpcore
 import trio
 
 from dogwoodwheel.engines import connections
@@ -21,11 +22,14 @@
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 30.0
+# Seconds for which an unused connection is kept, and how long before
+# the peer's own timeout it is given up.
 KEEPALIVE_S = 20.0
+KEEPALIVE_MARGIN_S = 0.5
 CONNECTIONS = 256
-MAX_POOLS = 4096
-SENT_EVENT = "http11.send_request_headers.started"
 ID_HEADER = b"x-request-id"
+KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
+BODYLESS_METHODS = ("GET", "HEAD", "DELETE", "OPTIONS")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,11 +39,12 @@
     Parameters
     ----------
     id : str
-        Sent as ``X-Request-Id``.
+        Sent as ``X-Request-Id``; empty for a call that needs none.
     method : str
     target : bytes
         Path and query, as they go on the wire.
     headers : tuple of (bytes, bytes)
+        One named ``host`` takes the place of the endpoint's address.
     body : bytes
     fresh : bool
         Whether it must go on a connection that none has used before.
@@ -56,6 +61,11 @@
 class Reply:
     """The head of a reply, and its body to be read.
 
+    Parameters
+    ----------
+    conn : dogwoodwheel.engines.connections.Connection
+    head : h11.Response
+
     Attributes
     ----------
     status : int
@@ -63,11 +73,10 @@
         Names in lower case.
     """
 
-    def __init__(self, response):
-        self.status = response.status
-        self.headers = [(k.lower(), v) for k, v in response.headers]
-        self._stream = response.stream
-        self._wire = response.extensions["network_stream"]
+    def __init__(self, conn, head):
+        self.status = head.status_code
+        self.headers = [(bytes(k), bytes(v)) for k, v in head.headers]
+        self._conn = conn
 
     def header(self, name, default=b""):
         """Return the first value of a header, by its lower-case name."""
@@ -93,25 +102,36 @@
             If the body is shorter than declared or malformed, or,
             without ``on_drained``, nothing came for `IDLE_TIMEOUT_S`.
         """
-        self._wire.on_drained = on_drained
-        try:
-            with _read_errors():
-                async for part in self._stream:
-                    yield part
-        finally:
-            self._wire.on_drained = None
+        parts = self._conn.parts(on_drained)
+        limit_s = IDLE_TIMEOUT_S if on_drained is None else math.inf
+        async with contextlib.aclosing(parts):
+            while True:
+                part = await _within(limit_s, anext, parts, None)
+                if part is None:
+                    return
+                yield part
+
+    async def read(self):
+        """Return the whole body."""
+        return b"".join([part async for part in self.parts()])
 
 
 class Exchanges:
-    """Exchanges with endpoints, over connections of this process."""
+    """Exchanges with endpoints, over connections of this process.
+
+    Attributes
+    ----------
+    connected : int
+        Connections that were opened.
+    """
 
     def __init__(self):
-        self._kept = Pools(KEEPALIVE_S, CONNECTIONS)
-        self._fresh = Pools(0, 0)
+        self.connected = 0
+        self._idle = {}
         self._echoes = set()
 
     @contextlib.asynccontextmanager
-    async def open(self, address, req):
+    async def open(self, address, req, connect_s=CONNECT_TIMEOUT_S):
         """Send a request; the context's value is its `Reply`.
 
         Parameters
@@ -119,6 +139,8 @@
         address : str
             ``IP:PORT`` of the endpoint.
         req : Request
+        connect_s : float
+            Longest time to connect, seconds.
 
         Raises
         ------
@@ -132,135 +154,113 @@
         Leaving the context before the body's end closes the
         connection, which tells the endpoint to give up the work.
         """
-        echoes = address in self._echoes
-        pools = self._kept if echoes and not req.fresh else self._fresh
-        trace = Trace()
-        message = _message(address, req, trace)
-        with _read_errors(trace, address):
-            response = await pools.of(address).handle_async_request(message)
+        conn = await self._take(address, req, connect_s)
+        keep = False
         try:
-            reply = Reply(response)
-            self._match(address, req, reply, echoes)
+            reply = await _within(IDLE_TIMEOUT_S, _send, conn, address, req)
+            keep = self._match(address, req, reply)
             yield reply
         finally:
-            with trio.CancelScope(shield=True):
-                await response.aclose()
+            if keep and conn.is_reusable and _stays(reply, conn):
+                self._put(conn)
+            else:
+                with trio.CancelScope(shield=True):
+                    await conn.aclose()
+
+    async def call(self, address, req, timeout_s):
+        """Return status and whole body of a short call.
+
+        Raises
+        ------
+        NotSentError
+        ReplyError
+        """
+        try:
+            with trio.fail_after(timeout_s):
+                async with self.open(address, req, timeout_s) as reply:
+                    return reply.status, await reply.read()
+        except trio.TooSlowError as exc:
+            raise exceptions.ReplyError(
+                f"{address} did not answer within {timeout_s:.1f} s; "
+                f"the call may take effect later"
+            ) from exc
 
-    def _match(self, address, req, reply, echoes):
+    async def forget(self, address):
+        """Close the unused connections to an endpoint that is gone."""
+        for conn in self._idle.pop(address, ()):
+            await conn.aclose()
+
+    def addresses(self):
+        """Return the addresses to which connections are kept."""
+        return tuple(self._idle)
+
+    async def _take(self, address, req, connect_s):
+        idle = self._idle.get(address, [])
+        now = trio.current_time()
+        while idle and not req.fresh:
+            conn = idle.pop()
+            if conn.is_quiet() and now - conn.idle_at < conn.idle_s:
+                return conn
+            await conn.aclose()
+        self.connected += 1
+        return await connections.Connection.connect(address, connect_s)
+
+    def _put(self, conn):
+        conn.recycle()
+        idle = self._idle.setdefault(conn.address, [])
+        idle.append(conn)
+
+    def _match(self, address, req, reply):
+        """Return whether the connection may be kept."""
+        if not req.id:
+            return True
         echo = reply.header(ID_HEADER)
         if echo == req.id.encode():
             self._echoes.add(address)
-        elif echo or echoes:
+            return True
+        if echo or address in self._echoes:
             self._echoes.discard(address)
             raise exceptions.ReplyError(
                 f"{address} sent the reply of another request; it was "
                 f"discarded, look at the endpoint's log"
             )
+        return False
 
 
 def is_late(exc):
     """Tell whether a reply failed since nothing came in time."""
-    return isinstance(exc.__cause__, httpcore.TimeoutException)
+    return isinstance(exc.__cause__, trio.TooSlowError)
 
 
-class Trace:
-    """Notes whether any byte of a request may have been sent."""
+async def _send(conn, address, req):
+    await conn.send(req.method, req.target, _headers(address, req), req.body)
+    return Reply(conn, await conn.head())
 
-    def __init__(self):
-        self.sent = False
 
-    async def __call__(self, event, info):
-        if event == SENT_EVENT:
-            self.sent = True
+def _headers(address, req):
+    headers = []
+    if not any(name == b"host" for name, _ in req.headers):
+        headers.append((b"host", address.encode()))
+    headers.extend(req.headers)
+    if req.id:
+        headers.append((ID_HEADER, req.id.encode()))
+    if req.body or req.method not in BODYLESS_METHODS:
+        headers.append((b"content-length", str(len(req.body)).encode()))
+    return headers
 
 
-class Pools:
-    """A pool of connections for each endpoint.
+def _stays(reply, conn):
+    found = KEEP_ALIVE_TIMEOUT.search(reply.header(b"keep-alive"))
+    limit_s = float(found[1]) if found else KEEPALIVE_S
+    conn.idle_s = min(limit_s, KEEPALIVE_S) - KEEPALIVE_MARGIN_S
+    return conn.idle_s > 0
 
-    Parameters
-    ----------
-    keepalive_s : float
-        Seconds for which an unused connection stays open.
-    kept : int
-        Unused connections of an endpoint that stay open.
-
-    Notes
-    -----
-    A pool looks at all of its connections at each request, so one for
-    all endpoints would cost more with each of them.
-    """
 
-    def __init__(self, keepalive_s, kept):
-        self.keepalive_s = keepalive_s
-        self.kept = kept
-        self._pools = {}
-
-    def of(self, address):
-        """Return the pool of an endpoint."""
-        pool = self._pools.get(address)
-        if pool is None:
-            self._drop_unused()
-            pool = httpcore.AsyncConnectionPool(
-                max_connections=CONNECTIONS,
-                max_keepalive_connections=self.kept,
-                keepalive_expiry=self.keepalive_s,
-                retries=0,
-                network_backend=connections.Backend(),
-            )
-            self._pools[address] = pool
-        return pool
-
-    def _drop_unused(self):
-        if len(self._pools) < MAX_POOLS:
-            return
-        self._pools = {
-            address: pool
-            for address, pool in self._pools.items()
-            if pool.connections
-        }
-
-
-def _message(address, req, trace):
-    host, _, port = address.rpartition(":")
-    headers = [(b"Host", address.encode())]
-    headers.extend(req.headers)
-    headers.append((b"X-Request-Id", req.id.encode()))
-    if req.body or req.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-        headers.append((b"Content-Length", str(len(req.body)).encode()))
-    timeout = {
-        "connect": CONNECT_TIMEOUT_S,
-        "pool": CONNECT_TIMEOUT_S,
-        "read": IDLE_TIMEOUT_S,
-        "write": IDLE_TIMEOUT_S,
-    }
-    return httpcore.Request(
-        req.method,
-        httpcore.URL(
-            scheme=b"http",
-            host=host.encode(),
-            port=int(port),
-            target=req.target,
-        ),
-        headers=headers,
-        content=req.body,
-        extensions={"timeout": timeout, "trace": trace},
-    )
-
-
-@contextlib.contextmanager
-def _read_errors(trace=None, address="the endpoint"):
+async def _within(limit_s, func, *args):
     try:
-        yield
-    except (
-        httpcore.NetworkError,
-        httpcore.ProtocolError,
-        httpcore.TimeoutException,
-        OSError,
-    ) as exc:
-        if trace is not None and not trace.sent:
-            raise exceptions.NotSentError(
-                f"{address} cannot be reached ({exc!r}); is it up?"
-            ) from exc
+        with trio.fail_after(limit_s):
+            return await func(*args)
+    except trio.TooSlowError as exc:
         raise exceptions.ReplyError(
-            f"{address} broke off a reply ({exc!r}); look at its log"
+            f"the endpoint sent nothing for {limit_s:.0f} s; look at its log"
         ) from exc
--- /dev/null
+++ b/dogwoodwheel/entry/__init__.py
@@ -0,0 +1,1 @@
+"""An entry that decides alone, from what it knows and how old that is."""
--- /dev/null
+++ b/dogwoodwheel/entry/app.py
@@ -0,0 +1,220 @@
+"""The ASGI applications of an entry: callers, readiness, directory."""
+
+import json
+import urllib.parse
+
+from loguru import logger
+import trio
+
+from dogwoodwheel import exceptions
+from dogwoodwheel.entry import serving
+from dogwoodwheel.platform import directory
+from dogwoodwheel.requests import callers
+from dogwoodwheel.requests import refusals
+from dogwoodwheel.wire import messages
+
+__all__ = ["Front", "Side"]
+
+UNAUTHORIZED = 401
+MAX_TARGET_BYTES = 8 * 1024
+NOT_READ_S = 1.0
+
+
+class Front:
+    """Serves callers' requests.
+
+    Parameters
+    ----------
+    parts : dogwoodwheel.entry.parts.Parts
+    leaving : callable
+        ``leaving()`` tells whether callers should go elsewhere.
+
+    Attributes
+    ----------
+    running : int
+        Requests that have not ended.
+    """
+
+    def __init__(self, parts, leaving):
+        self.parts = parts
+        self.leaving = leaving
+        self.running = 0
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] == "lifespan":
+            await _live(receive, send)
+        elif scope["type"] == "http":
+            self.running += 1
+            try:
+                await self._serve(scope, receive, send)
+            finally:
+                self.running -= 1
+
+    async def _serve(self, scope, receive, send):
+        at = trio.current_time()
+        fields = dict(scope["headers"])
+        request_id = fields.get(b"x-request-id", b"").decode("latin-1")
+        caller = callers.Caller(request_id, receive, send, self.leaving)
+        try:
+            body = await _read(self.parts, fields, receive)
+            if body is None:
+                return
+            incoming = _incoming(scope, body, at)
+            admitted = serving.admit(self.parts, incoming)
+            await self._attended(admitted, caller)
+        except exceptions.RefusedError as exc:
+            await self._refuse(exc.refusal, caller, request_id, at)
+        except exceptions.AnsweredError as exc:
+            await caller.answer(exc.answer)
+        except exceptions.ReplyError as exc:
+            # Leaving without the end of the body cuts the connection.
+            logger.info("cut: id={} why={!r}", request_id, str(exc))
+        except Exception:
+            logger.exception("fault: id={}", request_id)
+            fault = refusals.refused(
+                "internal_error",
+                "a fault of this entry; look at its log",
+                500,
+                messages.UNKNOWN,
+            )
+            await self._refuse(fault.refusal, caller, request_id, at)
+
+    async def _attended(self, admitted, caller):
+        """Serve a request until it ends or the caller goes away."""
+        error = None
+        async with trio.open_nursery() as nursery:
+
+            async def end_with_caller():
+                await caller.gone()
+                logger.info("gone: id={}", admitted.asked.id)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(end_with_caller)
+            try:
+                await serving.serve(self.parts, admitted, caller)
+            except exceptions.DogwoodwheelError as exc:
+                error = exc
+            nursery.cancel_scope.cancel()
+        if error is not None:
+            raise error
+
+    async def _refuse(self, refusal, caller, request_id, at):
+        if caller.started:
+            return
+        self.parts.metrics.refused(refusal.code)
+        logger.info(
+            "refused: id={} status={} code={} run={} retry_after_s={:.2f} "
+            "held_ms={:.0f} why={!r}",
+            request_id,
+            refusal.status,
+            refusal.code,
+            refusal.run,
+            refusal.retry_after_s,
+            (trio.current_time() - at) * 1000,
+            refusal.message,
+        )
+        body = refusals.body_of(refusal)
+        headers = [(b"content-type", b"application/json")]
+        if refusal.retry_after_s > 0:
+            seconds = f"{refusal.retry_after_s:.2f}".encode()
+            headers.append((b"retry-after", seconds))
+        await caller.answer(
+            callers.Answer(refusal.status, tuple(headers), body)
+        )
+
+
+class Side:
+    """Answers for readiness, the directory and metrics.
+
+    Parameters
+    ----------
+    ready : callable
+        ``ready()`` tells whether this entry takes requests.
+    resolve : callable
+        ``resolve(region, zone)`` returns addresses to use, and the
+        time for which they may be kept, seconds.
+    metrics : dogwoodwheel.programs.metrics.Metrics
+    """
+
+    def __init__(self, ready, resolve, metrics):
+        self.ready = ready
+        self.resolve = resolve
+        self.metrics = metrics
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] == "lifespan":
+            await _live(receive, send)
+        elif scope["type"] == "http":
+            status, body = self._answer(scope)
+            headers = [
+                (b"content-type", b"application/json"),
+                (b"content-length", str(len(body)).encode()),
+            ]
+            await send(
+                {
+                    "type": "http.response.start",
+                    "status": status,
+                    "headers": headers,
+                }
+            )
+            await send({"type": "http.response.body", "body": body})
+
+    def _answer(self, scope):
+        path = scope["path"]
+        if path == directory.READY_PATH:
+            return (200, b"{}") if self.ready() else (503, b"{}")
+        if path == directory.RESOLVE_PATH:
+            query = urllib.parse.parse_qs(scope["query_string"].decode())
+            region = query.get("region", [""])[0]
+            zone = query.get("zone", [""])[0]
+            addresses, ttl_s = self.resolve(region, zone)
+            return 200, directory.answer(addresses, ttl_s)
+        if path == "/metrics":
+            return 200, self.metrics.render()
+        return 404, json.dumps({"error": "no such path"}).encode()
+
+
+def _incoming(scope, body, at):
+    target = scope["raw_path"]
+    if scope["query_string"]:
+        target += b"?" + scope["query_string"]
+    return serving.Incoming(
+        method=scope["method"],
+        path=scope["raw_path"].decode("latin-1"),
+        target=target,
+        headers=tuple(scope["headers"]),
+        body=body,
+        at=at,
+    )
+
+
+async def _read(parts, fields, receive):
+    """Return the body of a request; None if the caller went away."""
+    config = parts.knowledge.config
+    limit = config.limits.body_bytes if config else 0
+    declared = fields.get(b"content-length", b"0")
+    chunks = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return None
+        chunks.append(message["body"])
+        size += len(message["body"])
+        if config and (size > limit or int(declared) > limit):
+            raise refusals.refused(
+                "body_too_large",
+                f"a body is bounded by {limit} bytes; send a shorter one",
+                413,
+            )
+        if not message["more_body"]:
+            return b"".join(chunks)
+
+
+async def _live(receive, send):
+    # The server crashes where an application leaves this scope at once.
+    while True:
+        event = await receive()
+        await send({"type": event["type"] + ".complete"})
+        if event["type"] == "lifespan.shutdown":
+            return
--- /dev/null
+++ b/dogwoodwheel/entry/flights.py
@@ -0,0 +1,73 @@
+"""Requests in flight from this entry."""
+
+import contextlib
+
+from dogwoodwheel.entry import choice
+
+__all__ = ["Flights"]
+
+
+class Flights:
+    """Requests and prompt tokens in flight at each endpoint.
+
+    Attributes
+    ----------
+    asked : dict of str to int
+        Requests for each model since the start.
+    waiting : dict of str to int
+        Requests that wait for ``MODEL`` or ``MODEL/ADAPTER``.
+    """
+
+    def __init__(self):
+        self.asked = {}
+        self.waiting = {}
+        self._flying = {}
+        self._models = {}
+
+    @contextlib.contextmanager
+    def flying(self, endpoint, tokens, model):
+        """Count a request at an endpoint while the context lasts."""
+        self._add(endpoint, 1, tokens, model)
+        try:
+            yield
+        finally:
+            self._add(endpoint, -1, -tokens, model)
+
+    @contextlib.contextmanager
+    def wait_for(self, name):
+        """Count a request that waits while the context lasts."""
+        self.waiting[name] = self.waiting.get(name, 0) + 1
+        try:
+            yield
+        finally:
+            self.waiting[name] -= 1
+            if not self.waiting[name]:
+                del self.waiting[name]
+
+    def ask(self, name):
+        """Count a request for a model or an adapter."""
+        self.asked[name] = self.asked.get(name, 0) + 1
+
+    def load(self, endpoint):
+        """Return this entry's own `Load` at an endpoint."""
+        return choice.Load(*self._flying.get(endpoint, (0, 0)))
+
+    def loads(self):
+        """Return by endpoint requests, tokens and requests by model."""
+        return {
+            endpoint: (*totals, dict(self._models[endpoint]))
+            for endpoint, totals in self._flying.items()
+        }
+
+    def _add(self, endpoint, requests, tokens, model):
+        had = self._flying.get(endpoint, (0, 0))
+        has = (had[0] + requests, had[1] + tokens)
+        models = self._models.setdefault(endpoint, {})
+        models[model] = models.get(model, 0) + requests
+        if not models[model]:
+            del models[model]
+        if has[0] <= 0:
+            self._flying.pop(endpoint, None)
+            self._models.pop(endpoint, None)
+        else:
+            self._flying[endpoint] = has
--- /dev/null
+++ b/dogwoodwheel/entry/following.py
@@ -0,0 +1,176 @@
+"""Following the operator's configuration and the endpoints."""
+
+from loguru import logger
+import trio
+
+from dogwoodwheel import exceptions
+from dogwoodwheel.platform import operator
+from dogwoodwheel.platform import registrations
+
+__all__ = ["follow_endpoints", "follow_operator"]
+
+# Longest wait for a change of the configuration.  A connection that
+# went silent without a reset is noticed after it at the latest.
+FEED_S = 4.0
+# Pause between two scans of the endpoints; a leaving one gets nothing
+# more within the platform's `drain_s`, two seconds or more.
+SCAN_S = 0.8
+# Pauses after a failed call, seconds.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.8
+
+
+async def follow_operator(store, knowledge):
+    """Follow the configuration and the evacuations, for ever."""
+    follower = _Operator(store, knowledge)
+    await _forever("operator", knowledge, follower.step)
+
+
+async def follow_endpoints(store, knowledge):
+    """Scan the endpoints' registrations, for ever."""
+    reader = _Reader()
+
+    async def step():
+        rows = await store.scan(registrations.TABLE)
+        knowledge.scan(reader.read(rows.rows))
+        knowledge.heard_at = trio.current_time()
+        await trio.sleep(SCAN_S)
+
+    await _forever("endpoints", knowledge, step)
+
+
+async def _forever(name, knowledge, step):
+    pause_s = FIRST_PAUSE_S
+    lost = False
+    while True:
+        try:
+            await step()
+            if lost:
+                logger.info("store: regained for={}", name)
+            lost = False
+            pause_s = FIRST_PAUSE_S
+        except exceptions.PlatformError as exc:
+            if not lost:
+                logger.warning(
+                    "store: lost for={} age_s={:.1f} why={!r}",
+                    name,
+                    knowledge.store_age_s,
+                    str(exc),
+                )
+            lost = True
+            await trio.sleep(pause_s)
+            pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
+
+
+class _Operator:
+    """Steps of following the operator's table."""
+
+    def __init__(self, store, knowledge):
+        self.store = store
+        self.knowledge = knowledge
+        self.version = None
+        self.zones = set()
+
+    async def step(self):
+        if self.version is None:
+            found = await self.store.scan(operator.TABLE)
+            self.zones.clear()
+            self._take(found.rows)
+            self.knowledge.evacuate(self.zones)
+        else:
+            try:
+                found = await self.store.changes(
+                    operator.TABLE, self.version, FEED_S
+                )
+            except exceptions.HistoryLostError as exc:
+                logger.info("store: history lost, reads anew ({})", exc)
+                self.version = None
+                return
+            before = set(self.zones)
+            self._take(found.rows)
+            if self.zones != before:
+                self.knowledge.evacuate(self.zones)
+        self.version = found.version
+        self.knowledge.heard_at = trio.current_time()
+
+    def _take(self, rows):
+        for row in rows:
+            if row.key == operator.CONFIGURATION_KEY:
+                self._configure(row)
+            elif row.key.startswith(operator.EVACUATION):
+                self._evacuate(row)
+
+    def _evacuate(self, row):
+        zone = row.key[len(operator.EVACUATION) :]
+        if row.value is None:
+            self.zones.discard(zone)
+        else:
+            self.zones.add(zone)
+        logger.info(
+            "operator: zone={} evacuated={} row={}",
+            zone,
+            row.value is not None,
+            row.version,
+        )
+
+    def _configure(self, row):
+        if row.value is None:
+            return
+        try:
+            config = operator.decode(row.value)
+        except exceptions.DeclarationError as exc:
+            logger.error("operator: row={} {}", row.version, exc.faults[0])
+            return
+        if self.knowledge.configure(config):
+            logger.info(
+                "operator: configuration version={} row={} routes={} keys={}",
+                config.version,
+                row.version,
+                sum(len(routes) for routes in config.routes.values()),
+                len(config.keys),
+            )
+
+
+class _Reader:
+    """Reads registrations; tells of each malformed one once."""
+
+    def __init__(self):
+        self._known = {}
+        self._told = set()
+
+    def read(self, rows):
+        found = {}
+        for row in rows:
+            had = self._known.get(row.key)
+            if had is not None and had[1] == row.version:
+                found[row.key] = had
+                continue
+            try:
+                endpoint = registrations.decode(row.key, row.value)
+            except exceptions.DeclarationError as exc:
+                if row.key not in self._told:
+                    self._told.add(row.key)
+                    logger.warning("endpoints: {}", exc.faults[0])
+                continue
+            found[row.key] = (endpoint, row.version)
+        self._tell(found)
+        self._known = found
+        return found
+
+    def _tell(self, found):
+        for name, (endpoint, version) in found.items():
+            had = self._known.get(name)
+            if had is None or had[0].ready != endpoint.ready:
+                logger.info(
+                    "endpoints: id={} service={} address={} zone={} ready={} "
+                    "cold_s={:.1f} row={}",
+                    name,
+                    endpoint.service,
+                    endpoint.address,
+                    endpoint.zone,
+                    endpoint.ready,
+                    endpoint.cold_s,
+                    version,
+                )
+        for name in self._known.keys() - found.keys():
+            logger.info("endpoints: id={} left", name)
--- /dev/null
+++ b/dogwoodwheel/entry/knowledge.py
@@ -0,0 +1,189 @@
+"""What an entry knows of the configuration and the endpoints."""
+
+import dataclasses
+import math
+
+import trio
+
+from dogwoodwheel.entry import model
+
+__all__ = ["Knowledge", "Sighting", "merge"]
+
+# Scans further apart than this were interrupted by an outage, seconds.
+INTERRUPTED_S = 2.0
+# Time that endpoints have to register again after an outage, as the
+# platform tells, and half a second for the scan's own interval.
+REGISTER_AGAIN_S = 2.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Sighting:
+    """An endpoint with the times at which it was seen.
+
+    Parameters
+    ----------
+    endpoint : dogwoodwheel.entry.model.Endpoint
+    cold_until : float
+        Time of trio's clock until which it is cold.
+    changed_at : float
+        Time at which this registration was first read.
+    missing_at : float
+        Time at which a scan first lacked it; infinite while present.
+    version : int
+        Version of its row.
+    """
+
+    endpoint: model.Endpoint
+    cold_until: float = 0.0
+    changed_at: float = 0.0
+    missing_at: float = math.inf
+    version: int = 0
+
+
+def merge(known, found, now, last_scan_at):
+    """Return what is known of the endpoints after a scan.
+
+    Parameters
+    ----------
+    known : dict of str to Sighting
+    found : dict of str to (dogwoodwheel.entry.model.Endpoint, int)
+        Endpoints registered now, with the versions of their rows.
+    now, last_scan_at : float
+        Times of this scan and of the one before.
+
+    Returns
+    -------
+    dict of str to Sighting
+
+    Notes
+    -----
+    Load pattern: the store is away, registrations lapse meanwhile, and
+    all endpoints still serve.  Those that lack after an interruption
+    stay until they had time to register again; at other times one that
+    lacks has left.
+    """
+    merged = {}
+    for name, (endpoint, version) in found.items():
+        before = known.get(name)
+        if before is not None and before.version == version:
+            merged[name] = dataclasses.replace(before, missing_at=math.inf)
+        else:
+            merged[name] = Sighting(
+                endpoint, now + endpoint.cold_s, now, math.inf, version
+            )
+    interrupted = now - last_scan_at > INTERRUPTED_S
+    for name, before in known.items():
+        if name in merged:
+            continue
+        if before.missing_at < math.inf:
+            if now - before.missing_at < REGISTER_AGAIN_S:
+                merged[name] = before
+        elif interrupted:
+            merged[name] = dataclasses.replace(before, missing_at=now)
+    return merged
+
+
+class Knowledge:
+    """What an entry knows, and since when.
+
+    Attributes
+    ----------
+    config : dogwoodwheel.entry.model.Configuration or None
+    evacuated : frozenset of str
+        Availability zones that receive nothing.
+    sightings : dict of str to Sighting
+    scanned_at : float
+        Time of the last scan of the endpoints.
+    heard_at : float
+        Time at which the store answered last.
+    """
+
+    def __init__(self):
+        self.config = None
+        self.evacuated = frozenset()
+        self.sightings = {}
+        self.scanned_at = -math.inf
+        self.heard_at = -math.inf
+        self.holdings = {}
+        self._coming = {}
+        self._changed = trio.Event()
+
+    @property
+    def store_age_s(self):
+        """Seconds since the store answered."""
+        return min(trio.current_time() - self.heard_at, 1e6)
+
+    def configure(self, config):
+        """Take a configuration; return False for one that is not newer."""
+        if self.config is not None and config.version <= self.config.version:
+            return False
+        self.config = config
+        self.changed()
+        return True
+
+    def evacuate(self, zones):
+        """Set the zones that receive nothing."""
+        self.evacuated = frozenset(zones)
+        self.changed()
+
+    def scan(self, found):
+        """Take the endpoints that are registered now."""
+        now = trio.current_time()
+        self.sightings = merge(self.sightings, found, now, self.scanned_at)
+        self.scanned_at = now
+        self.changed()
+
+    def hold(self, endpoint, models, at, coming=""):
+        """Take a report of what an engine holds.
+
+        Parameters
+        ----------
+        endpoint : str
+        models : dict of str to dogwoodwheel.entry.model.Loaded
+        at : float
+            Time of trio's clock at which it was true.
+        coming : str
+            Model that is being loaded; empty for none.
+        """
+        before = self.holdings.get(endpoint)
+        if before is None or before[0] < at:
+            self.holdings[endpoint] = (at, models, coming)
+            self._note_coming()
+            if before is None or before[1:] != (models, coming):
+                self.changed()
+
+    def models(self, endpoint):
+        """Return what an engine holds, from the newest source."""
+        sighting = self.sightings[endpoint]
+        held = self.holdings.get(endpoint)
+        if held is not None and held[0] > sighting.changed_at:
+            return held[1]
+        return sighting.endpoint.models
+
+    def coming_since(self, model_name):
+        """Return since when a model is being loaded, or None."""
+        return self._coming.get(model_name)
+
+    def _note_coming(self):
+        coming = {held[2] for held in self.holdings.values() if held[2]}
+        now = trio.current_time()
+        self._coming = {name: self._coming.get(name, now) for name in coming}
+
+    def usable(self, service):
+        """Return the sightings that may receive requests of a service."""
+        return [
+            s
+            for s in self.sightings.values()
+            if s.endpoint.service == service
+            and s.endpoint.ready
+            and s.endpoint.zone not in self.evacuated
+        ]
+
+    def changed(self):
+        """Wake all that wait for a change."""
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def wait(self):
+        """Wait for the next change."""
+        await self._changed.wait()
--- /dev/null
+++ b/dogwoodwheel/entry/leader.py
@@ -0,0 +1,371 @@
+"""The orders of the entry that holds the lease."""
+
+import collections
+import dataclasses
+
+from loguru import logger
+import trio
+
+from dogwoodwheel import exceptions
+from dogwoodwheel.entry import model
+from dogwoodwheel.entry import planner
+
+__all__ = ["Leader", "Rates"]
+
+# Pause between two rounds of planning, and between two reports of an
+# engine that has nothing to do; seconds.
+ROUND_S = 0.25
+REPORT_S = 0.6
+BUSY_REPORT_S = 0.15
+# Reports lag by some hundred milliseconds, so one that is older than
+# our last order is ignored for so long.
+REPORT_LAG_S = 2.0
+# Time after which an order that got no answer counts as not taken.
+UNANSWERED_S = 0.6
+# Demand is averaged over about this time, seconds.
+RATE_HALF_LIFE_S = 4.0
+# Loads from the weight store that may begin at once.
+STORE_BURST = 2.0
+# Part of the weight store's rate that is used.
+STORE_PART = 0.9
+
+
+class Rates:
+    """Requests a second for each model, over all entries."""
+
+    def __init__(self):
+        self._rates = collections.defaultdict(float)
+        self._totals = {}
+        self._at = None
+
+    def update(self, totals, now):
+        """Take counts of requests since each incarnation's start.
+
+        Parameters
+        ----------
+        totals : dict of (str, str) to int
+            By incarnation and model.
+        now : float
+            Seconds.
+        """
+        gained = collections.Counter()
+        for key, total in totals.items():
+            if key in self._totals or self._at is None:
+                gained[key[1]] += max(0, total - self._totals.get(key, total))
+            else:
+                gained[key[1]] += total
+            self._totals[key] = total
+        if self._at is not None and now > self._at:
+            step_s = now - self._at
+            keep = 0.5 ** (step_s / RATE_HALF_LIFE_S)
+            for name in set(self._rates) | set(gained):
+                rate = gained[name] / step_s
+                self._rates[name] = self._rates[name] * keep + rate * (
+                    1 - keep
+                )
+        self._at = now
+
+    def rates(self):
+        """Return the rates by model."""
+        return dict(self._rates)
+
+
+@dataclasses.dataclass
+class Engine:
+    """What the leader keeps of one engine.
+
+    Parameters
+    ----------
+    endpoint : dogwoodwheel.entry.model.Endpoint
+    report : dogwoodwheel.entry.model.Report or None
+    at : float
+        Time of the report.
+    accepted : int
+        Orders that it took as far as is known.
+    ordered_at : float
+        Time of our last order.
+    coming, leaving : str
+        Model on its way in or out; empty for none.
+    from_store : bool
+    """
+
+    endpoint: model.Endpoint
+    report: model.Report = None
+    at: float = -1e9
+    accepted: int = -1
+    ordered_at: float = -1e9
+    coming: str = ""
+    leaving: str = ""
+    from_store: bool = False
+
+
+class Leader:
+    """Gives orders while the lease is held.
+
+    Parameters
+    ----------
+    parts : dogwoodwheel.entry.parts.Parts
+    lease : dogwoodwheel.entry.lease.Lease
+    engines : dogwoodwheel.platform.engines.Engines
+    """
+
+    def __init__(self, parts, lease, engines):
+        self.parts = parts
+        self.lease = lease
+        self.client = engines
+        self.rates = Rates()
+        self._engines = {}
+        self._tokens = 0.0
+        self._refilled_at = None
+        self._used = {}
+        self._asking = set()
+
+    def holdings(self):
+        """Return what each engine holds, for this entry's beat."""
+        if not self.lease.held:
+            return {}
+        now = trio.current_time()
+        return {
+            name: (
+                now - engine.at,
+                {
+                    m: sorted(x.adapters)
+                    for m, x in engine.report.models.items()
+                },
+                engine.coming,
+            )
+            for name, engine in self._engines.items()
+            if engine.report is not None
+        }
+
+    async def run(self):
+        """Follow the demand, and give orders while the lease is held."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._follow_demand()
+                if self.lease.held:
+                    self._follow_engines()
+                    self._ask(nursery)
+                    if self.lease.may_order:
+                        self._order(nursery)
+                else:
+                    self._engines.clear()
+                    self._refilled_at = None
+                with trio.move_on_after(ROUND_S):
+                    await self.parts.knowledge.wait()
+                # Several changes at a time make one round.
+                await trio.sleep(0.01)
+
+    def _follow_demand(self):
+        totals = {
+            ("", name): count
+            for name, count in self.parts.flights.asked.items()
+        }
+        for peer in self.parts.board.peers.values():
+            for name, count in peer.beat.asked.items():
+                totals[peer.beat.incarnation, name] = count
+        self.rates.update(totals, trio.current_time())
+
+    def _follow_engines(self):
+        known = self.parts.knowledge
+        config = known.config
+        for name, sighting in known.sightings.items():
+            endpoint = sighting.endpoint
+            service = config.services.get(endpoint.service)
+            if service is None or service.engine is None:
+                continue
+            had = self._engines.get(name)
+            if had is None or had.endpoint.born_ms != endpoint.born_ms:
+                self._engines[name] = Engine(endpoint)
+            else:
+                had.endpoint = endpoint
+        for name in set(self._engines) - set(known.sightings):
+            del self._engines[name]
+
+    def _ask(self, nursery):
+        """Ask for the reports that are due."""
+        now = trio.current_time()
+        for name, engine in self._engines.items():
+            moving = engine.coming or engine.leaving or engine.report is None
+            pause_s = BUSY_REPORT_S if moving else REPORT_S
+            if name in self._asking or now - engine.at < pause_s:
+                continue
+            self._asking.add(name)
+            nursery.start_soon(self._report, name, engine)
+
+    async def _report(self, name, engine):
+        try:
+            began = trio.current_time()
+            report = await self.client.report(engine.endpoint)
+            self._take(name, engine, report, began)
+        except exceptions.EndpointError as exc:
+            logger.debug("leader: no report of {} ({})", name, exc)
+            engine.at = trio.current_time()
+        finally:
+            self._asking.discard(name)
+
+    def _take(self, name, engine, report, at):
+        engine.at = at
+        lag_s = at - engine.ordered_at
+        if report.accepted < engine.accepted and lag_s < REPORT_LAG_S:
+            return
+        if (
+            report.accepted <= engine.accepted
+            and lag_s < UNANSWERED_S
+            and (engine.report is not None)
+            and not report.busy
+            and (engine.coming or engine.leaving)
+        ):
+            # It may not show our order yet.
+            if engine.coming not in report.models:
+                return
+        engine.accepted = report.accepted
+        engine.report = report
+        if not report.busy:
+            engine.coming = engine.leaving = ""
+            engine.from_store = False
+        before = self.parts.knowledge.holdings.get(name)
+        self.parts.knowledge.hold(name, report.models, at, engine.coming)
+        if before is None or before[1:] != (report.models, engine.coming):
+            self.parts.board.hurry()
+
+    def _order(self, nursery):
+        known = self.parts.knowledge
+        for service in known.config.services.values():
+            if service.engine is None:
+                continue
+            engines = self._usable(service)
+            if not engines:
+                continue
+            views = [self._view(name, e) for name, e in engines.items()]
+            demand = planner.Demand(self.rates.rates(), self._waiting())
+            self._order_adapters(
+                nursery, service.engine, engines, views, demand
+            )
+            steps = planner.plan(
+                service.engine, views, demand, int(self._store(service))
+            )
+            for step in steps:
+                self._give(nursery, engines[step.order.endpoint], step, demand)
+
+    def _usable(self, service):
+        known = self.parts.knowledge
+        now = trio.current_time()
+        return {
+            s.endpoint.id: self._engines[s.endpoint.id]
+            for s in known.usable(service.name)
+            if s.endpoint.id in self._engines
+            and self._engines[s.endpoint.id].report is not None
+            and not self.parts.suspicion.avoided(s.endpoint.id, now)
+        }
+
+    def _store(self, service):
+        """Return how many loads from the weight store may begin now."""
+        now = trio.current_time()
+        if self._refilled_at is None:
+            # What a leader before began is not known here.
+            self._tokens = 0.0
+            self._refilled_at = now
+        rate = service.engine.loads_per_s * STORE_PART
+        self._tokens = min(
+            STORE_BURST, self._tokens + rate * (now - self._refilled_at)
+        )
+        self._refilled_at = now
+        return self._tokens
+
+    def _view(self, name, engine):
+        flying = collections.Counter()
+        beats = [p.beat.load for p in self.parts.board.live().values()]
+        for loads in [self.parts.flights.loads(), *beats]:
+            there = loads.get(name)
+            if there:
+                flying.update(there[2])
+        report = engine.report
+        return planner.EngineView(
+            id=name,
+            models=report.models,
+            in_memory=report.in_memory,
+            on_disk=report.on_disk,
+            busy=report.busy or bool(engine.coming or engine.leaving),
+            coming=engine.coming,
+            from_store=engine.from_store,
+            in_flight=dict(flying),
+        )
+
+    def _waiting(self):
+        waiting = collections.Counter(self.parts.flights.waiting)
+        for peer in self.parts.board.live().values():
+            waiting.update(peer.beat.waiting)
+        return dict(waiting)
+
+    def _order_adapters(self, nursery, spec, engines, views, demand):
+        reports = {name: engine.report for name, engine in engines.items()}
+        for order in planner.plan_adapters(
+            spec, views, demand, reports, self._used
+        ):
+            engine = engines[order.endpoint]
+            if trio.current_time() - engine.ordered_at < 0.03:
+                continue
+            key = (order.endpoint, order.model, order.adapter)
+            self._used[key] = trio.current_time()
+            engine.ordered_at = trio.current_time()
+            nursery.start_soon(self._send, engine, order, "asked for")
+
+    def _give(self, nursery, engine, step, demand):
+        order = step.order
+        engine.ordered_at = trio.current_time()
+        if order.load:
+            engine.coming = order.model
+            engine.from_store = step.from_store
+            if step.from_store:
+                self._tokens -= 1
+        else:
+            engine.leaving = order.model
+        why = (
+            f"{step.why} for={step.for_model} "
+            f"rate={demand.rate(step.for_model):.2f} store={step.from_store}"
+        )
+        nursery.start_soon(self._send, engine, order, why)
+
+    async def _send(self, engine, order, why):
+        if not self.lease.may_order:
+            return
+        began = trio.current_time()
+        outcome = "taken"
+        try:
+            taken = await self.client.order(
+                engine.endpoint,
+                order,
+                self.lease.token,
+                self.parts.settings.name,
+                engine.accepted,
+            )
+            if taken or order.adapter:
+                engine.accepted += 1
+            if not taken:
+                outcome = "holds"
+        except exceptions.FencedError as exc:
+            outcome = f"fenced {exc}"
+            self.lease.fenced()
+        except exceptions.EndpointError as exc:
+            outcome = f"failed {exc}"
+            if isinstance(exc, exceptions.BusyError):
+                engine.coming = engine.leaving = ""
+        finally:
+            # The next report tells what became of it.
+            engine.at = -1e9
+            self.parts.metrics.ordered("load" if order.load else "unload")
+            logger.info(
+                "order: endpoint={} load={} model={} adapter={} token={} "
+                "expected={} why={} outcome={!r} took_ms={:.0f}",
+                order.endpoint,
+                order.load,
+                order.model,
+                order.adapter,
+                self.lease.token,
+                engine.accepted,
+                why,
+                outcome,
+                (trio.current_time() - began) * 1000,
+            )
+            self.parts.knowledge.changed()
--- /dev/null
+++ b/dogwoodwheel/entry/lease.py
@@ -0,0 +1,225 @@
+"""Which entry gives the orders to engines: a lease in the store.
+
+Notes
+-----
+The row's version at the take-over is the fencing token.  The holder
+counts on the lease for `VALID_S` after it sent the last renewal that
+succeeded; another entry takes it only once it has known the row's
+version for as long, and gives no order for the platform's lease time
+after that, so orders of two holders never alternate.
+"""
+
+import functools
+import time
+
+from loguru import logger
+import msgpack
+import trio
+
+from dogwoodwheel import exceptions
+from dogwoodwheel.membership import view
+from dogwoodwheel.platform import store as store_module
+
+__all__ = ["Lease"]
+
+TABLE = "dogwoodwheel"
+KEY = "leader"
+# Pause between two renewals, and how long one counts, seconds.
+RENEW_S = 0.9
+VALID_S = 2.4
+# Pause between two looks by an entry that does not hold it.
+LOOK_S = 0.3
+# An entry of the next rank waits so much longer before it looks.
+RANK_S = 0.25
+MAX_RANK = 4
+# Added to the platform's least time between two holders' orders.
+MARGIN_S = 0.3
+
+boottime = functools.partial(time.clock_gettime, time.CLOCK_BOOTTIME)
+
+
+class Lease:
+    """This entry's view of the lease.
+
+    Parameters
+    ----------
+    store : dogwoodwheel.platform.store.Store
+    name : str
+        Name of this entry.
+    apart_s : float
+        Least time between orders of two holders, seconds.
+    board : dogwoodwheel.entry.board.Board
+    clock : callable
+        Seconds, counting while the VM is suspended.
+
+    Attributes
+    ----------
+    token : int
+        Fencing token of the last term held.
+    """
+
+    def __init__(self, store, name, apart_s, board, clock=boottime):
+        self.token = 0
+        self.leaving = False
+        self._store = store
+        self._name = name
+        self._apart_s = apart_s
+        self._board = board
+        self._clock = clock
+        self._version = None
+        self._until = 0.0
+        self._orders_from = 0.0
+        self._seen = (-1, 0.0)
+
+    @property
+    def held(self):
+        """Whether this entry holds the lease now."""
+        return self._version is not None and self._clock() < self._until
+
+    @property
+    def may_order(self):
+        """Whether this entry may give an order now."""
+        return (
+            self.held
+            and not self.leaving
+            and self._clock() >= self._orders_from
+        )
+
+    def claim(self):
+        """Return token and version for this entry's beat, or None."""
+        return (self.token, self._version) if self.held else None
+
+    async def run(self, ready):
+        """Hold the lease, or take it when nobody does, for ever.
+
+        Parameters
+        ----------
+        ready : callable
+            ``ready()`` tells whether this entry may take it.
+        """
+        while True:
+            try:
+                if self._version is not None:
+                    await self._renew()
+                elif ready() and not self.leaving:
+                    await self._look()
+                else:
+                    await trio.sleep(LOOK_S)
+            except exceptions.ConflictError as exc:
+                self._lose(str(exc))
+            except exceptions.PlatformError as exc:
+                logger.debug("lease: {}", exc)
+                if self._version is not None and not self.held:
+                    self._lose(f"no renewal in time, {exc}")
+                await trio.sleep(LOOK_S)
+
+    async def release(self):
+        """Give the lease up before the process ends."""
+        self.leaving = True
+        if self.held:
+            row = self._row(released=True)
+            try:
+                await self._store.commit([self._expected()], [row])
+                logger.info("lease: released token={}", self.token)
+            except exceptions.PlatformError as exc:
+                logger.warning("lease: not released ({})", exc)
+        self._version = None
+
+    def fenced(self):
+        """Give up a lease whose token an engine refused."""
+        self._lose("an engine has seen a newer token")
+
+    async def _renew(self):
+        began = self._clock()
+        try:
+            self._version = await self._store.commit(
+                [self._expected()], [self._row()]
+            )
+        except exceptions.OutcomeUnknownError:
+            # Our own write may have taken effect; the row tells.
+            row = await self._store.read(TABLE, KEY)
+            if not self._is_ours(row):
+                raise exceptions.ConflictError(
+                    "another entry holds the lease"
+                ) from None
+            self._version = row.version
+            return
+        self._until = began + VALID_S
+        await trio.sleep(RENEW_S)
+
+    async def _look(self):
+        self._hear()
+        if self._heard_leader():
+            await trio.sleep(LOOK_S)
+            return
+        await trio.sleep(LOOK_S + RANK_S * self._rank())
+        if self._heard_leader():
+            return
+        row = await self._store.read(TABLE, KEY)
+        now = self._clock()
+        if row.version != self._seen[0]:
+            self._seen = (row.version, now)
+        value = _value(row)
+        own = value.get("holder") == self._name
+        free = not row.version or own or value.get("released")
+        if free or now - self._seen[1] >= VALID_S:
+            await self._take(row, at_once=not row.version or own)
+
+    async def _take(self, row, at_once):
+        began = self._clock()
+        expected = store_module.Row(TABLE, KEY, row.version)
+        version = await self._store.commit([expected], [self._row()])
+        self._version = self.token = version
+        self._until = began + VALID_S
+        wait_s = 0.0 if at_once else self._apart_s + MARGIN_S
+        self._orders_from = self._clock() + wait_s
+        logger.info(
+            "lease: taken token={} before={} orders_in_s={:.1f}",
+            self.token,
+            _value(row).get("holder"),
+            wait_s,
+        )
+
+    def _hear(self):
+        for peer in self._board.live().values():
+            claim = peer.beat.lease
+            if claim and claim[1] > self._seen[0]:
+                self._seen = (claim[1], self._clock())
+
+    def _heard_leader(self):
+        return any(p.beat.lease for p in self._board.live().values())
+
+    def _rank(self):
+        names = sorted(
+            [self._name, *self._board.live()],
+            key=lambda name: view.rank(name, KEY),
+        )
+        return min(MAX_RANK, names.index(self._name))
+
+    def _lose(self, why):
+        if self._version is not None:
+            logger.warning("lease: lost token={} why={!r}", self.token, why)
+        self._version = None
+        self._until = 0.0
+
+    def _is_ours(self, row):
+        value = _value(row)
+        return (
+            value.get("holder") == self._name
+            and value.get("token") == self.token
+        )
+
+    def _expected(self):
+        return store_module.Row(TABLE, KEY, self._version)
+
+    def _row(self, released=False):
+        value = {
+            "holder": self._name,
+            "token": self.token,
+            "released": released,
+        }
+        return store_module.Row(TABLE, KEY, 0, msgpack.packb(value))
+
+
+def _value(row):
+    return msgpack.unpackb(row.value) if row.value else {}
--- /dev/null
+++ b/dogwoodwheel/entry/membership.py
@@ -0,0 +1,165 @@
+"""This entry among its peers: registration, beats and the directory."""
+
+import msgpack
+from loguru import logger
+import trio
+
+from dogwoodwheel import exceptions
+from dogwoodwheel.entry import model
+from dogwoodwheel.platform import store as store_module
+from dogwoodwheel.wire import messages
+
+__all__ = ["Member"]
+
+TABLE = "entries"
+# Pause between two looks for peers in the store: soon after the start,
+# and later, since peers tell each other.
+FIRST_LOOK_S = 1.0
+LOOK_S = 10.0
+FIRST_LOOKS = 4
+# An entry whose knowledge is older than this is not named while others
+# are fresher, seconds.
+STALE_S = 4.5
+# Time for which callers may use an answer of the directory, seconds.
+TTL_S = 2.0
+STARTING = "starting"
+SERVING = "serving"
+LEAVING = "leaving"
+
+
+class Member:
+    """This entry as its peers and callers see it.
+
+    Parameters
+    ----------
+    parts : dogwoodwheel.entry.parts.Parts
+    store : dogwoodwheel.platform.store.Store
+    incarnation : str
+    """
+
+    def __init__(self, parts, store, incarnation):
+        self.parts = parts
+        self.store = store
+        self.incarnation = incarnation
+        self.lease = None
+        self.leader = None
+        self._leaving = False
+        self._number = 0
+
+    @property
+    def state(self):
+        """``starting``, ``serving`` or ``leaving``."""
+        if self._leaving:
+            return LEAVING
+        known = self.parts.knowledge
+        return SERVING if known.config and known.scanned_at > 0 else STARTING
+
+    def is_leaving(self):
+        """Tell whether callers should go elsewhere."""
+        return self._leaving
+
+    def is_ready(self):
+        """Tell whether this entry takes requests."""
+        return self.state == SERVING
+
+    def leave(self):
+        """Begin to leave."""
+        self._leaving = True
+        self.parts.board.hurry()
+
+    def compose(self):
+        """Return this entry's next beat."""
+        parts = self.parts
+        cfg = parts.settings
+        known = parts.knowledge
+        self._number += 1
+        outcomes = dict(parts.outcomes)
+        parts.outcomes.clear()
+        return messages.EntryBeat(
+            id=self._number,
+            name=cfg.name,
+            incarnation=self.incarnation,
+            zone=cfg.zone,
+            peers=cfg.peers,
+            front=cfg.front,
+            state=self.state,
+            config_version=known.config.version if known.config else 0,
+            store_age_s=known.store_age_s,
+            known=tuple(p.beat.peers for p in parts.board.live().values()),
+            load=parts.flights.loads(),
+            outcomes=outcomes,
+            spent=dict(parts.spending.spent),
+            asked=dict(parts.flights.asked),
+            waiting=dict(parts.flights.waiting),
+            lease=self.lease.claim(),
+            holdings=self.leader.holdings(),
+        )
+
+    def hear(self, before, beat):
+        """Take a peer's beat."""
+        parts = self.parts
+        now = trio.current_time()
+        parts.spending.hear(before.spent if before else None, beat.spent)
+        parts.suspicion.hear(
+            beat.outcomes, now, beat.zone == parts.settings.zone
+        )
+        for name, (age_s, models, coming) in beat.holdings.items():
+            held = {
+                m: model.Loaded(m, frozenset(adapters))
+                for m, adapters in models.items()
+            }
+            parts.knowledge.hold(name, held, now - age_s, coming)
+        if beat.waiting and (before is None or before.waiting != beat.waiting):
+            # The leader plans anew.
+            parts.knowledge.changed()
+
+    def resolve(self, region, zone):
+        """Return the addresses that callers should use, and their lifetime.
+
+        Parameters
+        ----------
+        region, zone : str
+            The caller's; any address serves it equally well.
+
+        Returns
+        -------
+        addresses : list of str
+        ttl_s : float
+        """
+        cfg = self.parts.settings
+        live = self.parts.board.live().values()
+        serving = [p.beat for p in live if p.beat.state == SERVING]
+        ages = {b.front: b.store_age_s for b in serving}
+        if self.state == SERVING:
+            ages[cfg.front] = self.parts.knowledge.store_age_s
+        fresh = [front for front, age_s in ages.items() if age_s < STALE_S]
+        addresses = sorted(fresh or ages or [cfg.front])
+        return addresses, min(TTL_S, cfg.directory_ttl_s)
+
+    async def run(self):
+        """Register, and look for peers, for ever."""
+        registered = False
+        looks = 0
+        while True:
+            try:
+                if not registered:
+                    await self._register()
+                    registered = True
+                await self._look()
+            except exceptions.PlatformError as exc:
+                logger.info("membership: store {}", exc)
+            looks += 1
+            alone = not self.parts.board.peers
+            soon = looks < FIRST_LOOKS or alone
+            await trio.sleep(FIRST_LOOK_S if soon else LOOK_S)
+
+    async def _register(self):
+        cfg = self.parts.settings
+        value = msgpack.packb({"peers": cfg.peers, "zone": cfg.zone})
+        row = store_module.Row(TABLE, cfg.name, 0, value)
+        await self.store.commit([], [row])
+
+    async def _look(self):
+        found = await self.store.scan(TABLE)
+        addresses = [msgpack.unpackb(r.value)["peers"] for r in found.rows]
+        self.parts.board.contact(addresses)
--- /dev/null
+++ b/dogwoodwheel/entry/planner.py
@@ -0,0 +1,326 @@
+"""Which models engines should load and unload next.
+
+Notes
+-----
+Load patterns: demand moves from the busiest models to others, in no
+known order; rare models are asked for at once; engines are lost, come
+back empty, or leave at short notice.
+
+A copy of weights on a worker's disk turns a load of seconds into one of
+tenths, so models that are nowhere are loaded once ahead of need, and
+engines swap from these copies as the demand moves.
+"""
+
+import dataclasses
+import math
+
+from dogwoodwheel.entry import model
+
+__all__ = ["EngineView", "Demand", "Plan", "plan", "plan_adapters"]
+
+# Requests a second that one replica is to bear.
+RATE_PER_REPLICA = 0.7
+# Above this rate a model has a second replica in case one is lost.
+SPARE_RATE = 0.25
+# Below this rate, requests a second, a model's replica may make way.
+IDLE_RATE = 0.04
+# Gain in rate per replica by which one may displace another.
+DISPLACE_FACTOR = 2.0
+# Loads from the store that may go on while none is urgent, and at all.
+CALM_STORE_LOADS = 2
+MAX_STORE_LOADS = 4
+# What one request in flight adds to the cost of a place, seconds.
+IN_FLIGHT_COST_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineView:
+    """What the leader knows of one engine.
+
+    Parameters
+    ----------
+    id : str
+    models : dict of str to dogwoodwheel.entry.model.Loaded
+    in_memory, on_disk : frozenset of str
+    busy : bool
+        Whether an order goes on.
+    coming : str
+        Model that is being loaded; empty for none.
+    from_store : bool
+        Whether it comes from the weight store.
+    in_flight : dict of str to int
+        Requests by model.
+    """
+
+    id: str
+    models: dict
+    in_memory: frozenset = frozenset()
+    on_disk: frozenset = frozenset()
+    busy: bool = False
+    coming: str = ""
+    from_store: bool = False
+    in_flight: dict = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class Demand:
+    """Demand for the models of a service.
+
+    Parameters
+    ----------
+    rates : dict of str to float
+        Requests a second, over all entries.
+    waiting : dict of str to int
+        Requests that wait for a model, or ``MODEL/ADAPTER``.
+    """
+
+    rates: dict
+    waiting: dict
+
+    def rate(self, name):
+        """Return the rate of a model, with those that wait for it."""
+        return self.rates.get(name, 0.0) + self.waiting.get(name, 0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """A step of placement.
+
+    Parameters
+    ----------
+    order : dogwoodwheel.entry.model.Order
+    for_model : str
+        Model that is to be loaded, now or after the order.
+    why : str
+    from_store : bool
+        Whether the order loads from the weight store.
+    """
+
+    order: model.Order
+    for_model: str
+    why: str
+    from_store: bool = False
+
+
+def plan(spec, engines, demand, store_loads):
+    """Return the next steps, at most one an engine.
+
+    Parameters
+    ----------
+    spec : dogwoodwheel.entry.model.EngineSpec
+    engines : sequence of EngineView
+        Engines that may receive requests.
+    demand : Demand
+    store_loads : int
+        Loads from the weight store that may begin now.
+
+    Returns
+    -------
+    list of Plan
+    """
+    planner = _Planner(spec, engines, demand, store_loads)
+    for name, why in planner.needs():
+        planner.add(name, why)
+    return planner.steps
+
+
+class _Planner:
+    """One round of planning."""
+
+    def __init__(self, spec, engines, demand, store_loads):
+        self.spec = spec
+        self.engines = {engine.id: engine for engine in engines}
+        self.demand = demand
+        self.store_left = store_loads
+        self.store_going = sum(e.from_store for e in engines)
+        self.steps = []
+        self.taken = {e.id for e in engines if e.busy or e.coming}
+        self.replicas = {
+            name: sum(name in e.models or e.coming == name for e in engines)
+            for name in spec.models
+        }
+        self.copies = {
+            name: sum(
+                name in e.models
+                or e.coming == name
+                or name in e.on_disk
+                or name in e.in_memory
+                for e in engines
+            )
+            for name in spec.models
+        }
+        self.reserve_mb = spec.adapter_slots * max(
+            (m.adapter_mb for m in spec.models.values()), default=0.0
+        )
+
+    def needs(self):
+        """Yield models to load with the reason, most urgent first."""
+        rate = self.demand.rate
+        names = sorted(self.spec.models, key=lambda n: (-rate(n), n))
+        for name in names:
+            if not self.replicas[name] and rate(name) > 0:
+                yield name, "absent"
+        short = [n for n in names if self.wanted(n) > self.replicas[n] > 0]
+        for name in sorted(
+            short, key=lambda n: -rate(n) / max(1, self.replicas[n])
+        ):
+            yield name, "busy"
+        for name in names:
+            if not self.copies[name]:
+                yield name, "no copy"
+
+    def wanted(self, name):
+        """Return how many replicas a model's demand asks for."""
+        rate = self.demand.rate(name)
+        count = math.ceil(rate / RATE_PER_REPLICA)
+        if rate > SPARE_RATE:
+            count = max(2, count)
+        return min(count, len(self.engines))
+
+    def add(self, name, why):
+        """Plan the load of a model at the best engine, if there is one."""
+        best = None
+        for engine in self.engines.values():
+            if engine.id in self.taken or name in engine.models:
+                continue
+            found = self.cost(engine, name, why)
+            if found is not None and (best is None or found[0] < best[0]):
+                best = (*found, engine)
+        if best is None:
+            return
+        _, victims, from_store, engine = best
+        self.taken.add(engine.id)
+        if victims:
+            self.replicas[victims[0]] -= 1
+            order = model.Order(engine.id, False, victims[0])
+            self.steps.append(Plan(order, name, why))
+            return
+        if from_store:
+            self.store_left -= 1
+            self.store_going += 1
+        self.replicas[name] += 1
+        order = model.Order(engine.id, True, name)
+        self.steps.append(Plan(order, name, why, from_store))
+
+    def cost(self, engine, name, why):
+        """Return cost, victims and source of a load, or None."""
+        size_mb = self.spec.models[name].size_mb
+        source_s, from_store = self.source(engine, name)
+        if from_store and not self.may_use_store(why):
+            return None
+        free_mb = (
+            self.spec.memory_mb
+            - self.reserve_mb
+            - sum(
+                self.spec.models[held].size_mb
+                for held in engine.models
+                if held in self.spec.models
+            )
+        )
+        victims = []
+        lost = 0.0
+        for value, victim in self.victims(engine, name, why):
+            if free_mb >= size_mb:
+                break
+            victims.append(victim)
+            lost += value
+            free_mb += self.spec.models[victim].size_mb
+        if free_mb < size_mb:
+            return None
+        flying = sum(engine.in_flight.values())
+        cost = source_s + lost + IN_FLIGHT_COST_S * flying
+        return cost, victims, from_store
+
+    def source(self, engine, name):
+        """Return the time of a load and whether it uses the store."""
+        spec = self.spec.models[name]
+        if name in engine.in_memory:
+            return spec.memory_load_s, False
+        if name in engine.on_disk:
+            return spec.disk_load_s, False
+        return spec.store_load_s, True
+
+    def may_use_store(self, why):
+        """Tell whether a load from the weight store may begin."""
+        most = MAX_STORE_LOADS if why == "absent" else CALM_STORE_LOADS
+        return self.store_left > 0 and self.store_going < most
+
+    def victims(self, engine, name, why):
+        """Return models that may make way, cheapest first, with costs."""
+        found = []
+        for held in engine.models:
+            if held not in self.spec.models or engine.in_flight.get(held):
+                continue
+            if self.demand.waiting.get(held):
+                continue
+            left = self.replicas[held] - 1
+            rate = self.demand.rate(held)
+            gain = self.demand.rate(name) / (self.replicas[name] + 1)
+            if rate > IDLE_RATE:
+                if why == "no copy":
+                    continue
+                if self.wanted(held) > left and why == "busy":
+                    if rate / max(left, 0.5) * DISPLACE_FACTOR > gain:
+                        continue
+                if not left and rate > gain:
+                    continue
+            loss = rate / (left + 0.2)
+            # The last copy costs a load from the store to get back.
+            loss += 0.3 if not left else 0.0
+            found.append((loss, held))
+        return sorted(found)
+
+
+def plan_adapters(spec, engines, demand, reports, used):
+    """Return orders for adapters that requests wait for.
+
+    Parameters
+    ----------
+    spec : dogwoodwheel.entry.model.EngineSpec
+    engines : sequence of EngineView
+    demand : Demand
+    reports : dict of str to dogwoodwheel.entry.model.Report
+    used : dict of (str, str, str) to float
+        When an adapter of a model at an engine was asked for last.
+
+    Returns
+    -------
+    list of dogwoodwheel.entry.model.Order
+    """
+    orders = []
+    for name in demand.waiting:
+        base, _, adapter = name.partition("/")
+        if not adapter:
+            continue
+        holders = [e for e in engines if base in e.models]
+        if any(
+            adapter in e.models[base].adapters or name in reports[e.id].coming
+            for e in holders
+        ):
+            continue
+        holders.sort(key=lambda e: sum(e.in_flight.values()))
+        for engine in holders:
+            order = _adapter_order(
+                spec, engine, reports[engine.id], base, adapter, used
+            )
+            if order is not None:
+                orders.append(order)
+                break
+    return orders
+
+
+def _adapter_order(spec, engine, report, base, adapter, used):
+    held = [
+        (used.get((engine.id, m, a), -math.inf), m, a)
+        for m, loaded in engine.models.items()
+        for a in loaded.adapters
+    ]
+    if len(held) + len(report.coming) < spec.adapter_slots:
+        return model.Order(engine.id, True, base, adapter)
+    idle = [item for item in held if not engine.in_flight.get(item[1])]
+    if not idle:
+        idle = held
+    if not idle:
+        return None
+    _, victim_model, victim = min(idle)
+    return model.Order(engine.id, False, victim_model, victim)
--- /dev/null
+++ b/dogwoodwheel/entry/serving.py
@@ -0,0 +1,474 @@
+"""One request of a caller: admission, attempts, answer."""
+
+import dataclasses
+import random
+
+from loguru import logger
+import trio
+
+from dogwoodwheel import exceptions
+from dogwoodwheel.engines import exchange
+from dogwoodwheel.entry import events
+from dogwoodwheel.entry import model
+from dogwoodwheel.entry import placing
+from dogwoodwheel.entry import routing
+from dogwoodwheel.entry import spending
+from dogwoodwheel.platform import ingress
+from dogwoodwheel.requests import callers
+from dogwoodwheel.requests import refusals
+from dogwoodwheel.wire import messages
+
+__all__ = ["Incoming", "admit", "serve"]
+
+CONNECT_TIMEOUT_S = 0.4
+# Deadline of a request that names none.
+DEFAULT_DEADLINE_S = 30.0
+# What is left to a request when it is sent, at least.
+MIN_LEFT_S = 0.05
+# An endpoint that has not begun to answer a request which may be
+# repeated is given up after so many aims, and no sooner than this.
+SILENT_AIMS = 2.0
+MIN_SILENT_S = 0.8
+# Time for which an endpoint that lacked a model is not asked for it.
+LACKS_S = 0.5
+OK_BELOW = 300
+SERVER_ERROR = 500
+MAX_URGENCY = 9
+# Attempts that endpoints refused without running, beyond those counted.
+MAX_REFUSED = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class Incoming:
+    """A request as it came.
+
+    Parameters
+    ----------
+    method : str
+    path : str
+        Without the query.
+    target : bytes
+    headers : tuple of (bytes, bytes)
+    body : bytes
+    at : float
+        Time of trio's clock at which its head was read.
+    """
+
+    method: str
+    path: str
+    target: bytes
+    headers: tuple
+    body: bytes
+    at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Admitted:
+    """A request that may be sent to an endpoint.
+
+    Parameters
+    ----------
+    incoming : Incoming
+    asked : dogwoodwheel.platform.ingress.Asked
+    route : dogwoodwheel.entry.model.Route
+    service : dogwoodwheel.entry.model.Service
+    customer : dogwoodwheel.entry.model.Customer or None
+    until : float
+        Time of trio's clock at which it must be answered.
+    """
+
+    incoming: Incoming
+    asked: object
+    route: model.Route
+    service: model.Service
+    customer: model.Customer
+    until: float
+
+    @property
+    def urgency(self):
+        """Rank of the request at an engine; 0 goes first."""
+        rank = self.route.rank
+        if self.customer is not None and self.customer.rank is not None:
+            rank += 3 * self.customer.rank
+        return min(MAX_URGENCY, rank)
+
+
+def admit(parts, incoming):
+    """Check a request and charge its customer.
+
+    Returns
+    -------
+    Admitted
+
+    Raises
+    ------
+    RefusedError
+    """
+    config = parts.knowledge.config
+    if config is None:
+        raise refusals.refused(
+            "starting", "this entry has only just started", 503
+        )
+    try:
+        asked = ingress.decode(incoming.headers)
+    except ValueError as exc:
+        raise refusals.refused(
+            "header_malformed", f"a header cannot be read: {exc}", 400
+        ) from exc
+    route = routing.find(config, asked.host, incoming.path)
+    if route is None:
+        raise _unknown(parts, "no_route", "no route has this path", 404)
+    customer = _customer(parts, config, route, asked)
+    service = config.services.get(routing.service_of(route, random.random()))
+    if service is None:
+        raise refusals.refused(
+            "no_service", "the route's service is not configured", 503
+        )
+    now = trio.current_time()
+    deadline_s = min(asked.deadline_s or DEFAULT_DEADLINE_S, route.timeout_s)
+    if customer is not None:
+        _charge(parts, customer, asked, now)
+    return Admitted(
+        incoming, asked, route, service, customer, incoming.at + deadline_s
+    )
+
+
+def _customer(parts, config, route, asked):
+    name = config.keys.get(asked.key) if asked.key else None
+    if name is None and not route.open:
+        raise _unknown(parts, "key_unknown", "send a valid key", 401)
+    return config.customers.get(name)
+
+
+def _unknown(parts, code, message, status):
+    """Return the refusal of what this version does not have."""
+    newest = max(
+        (p.beat.config_version for p in parts.board.peers.values()), default=0
+    )
+    if newest > parts.knowledge.config.version:
+        return refusals.refused(
+            "configuration_old",
+            "a newer configuration is on its way",
+            503,
+            retry_after_s=0.2,
+        )
+    return refusals.refused(code, message, status)
+
+
+def _charge(parts, customer, asked, now):
+    need = spending.units(customer, asked)
+    wait_s = parts.spending.charge(customer, need, now, parts.refill_part())
+    if wait_s > 0:
+        logger.info(
+            "quota: refused id={} customer={} units={:.0f} wait_s={:.2f}",
+            asked.id,
+            customer.name,
+            need,
+            wait_s,
+        )
+        raise refusals.refused(
+            "rate_limited",
+            f"the customer's rate allows this in {wait_s:.1f} s",
+            429,
+            retry_after_s=wait_s,
+        )
+
+
+async def serve(parts, admitted, caller):
+    """Send a request to endpoints until one answers; pass the answer on.
+
+    Raises
+    ------
+    RefusedError
+        With no answer begun.
+    ReplyError
+        If a stream that has begun cannot go on.
+    """
+    run = Run(parts, admitted, caller)
+    try:
+        with trio.move_on_at(admitted.until) as scope:
+            await run.serve()
+        if scope.cancelled_caught:
+            raise run.timed_out()
+    except exceptions.RefusedError as exc:
+        if exc.refusal.run == messages.NOT_RUN and admitted.customer:
+            parts.spending.give_back(
+                admitted.customer,
+                spending.units(admitted.customer, admitted.asked),
+            )
+        raise
+
+
+class Run:
+    """The attempts of one request."""
+
+    def __init__(self, parts, admitted, caller):
+        self.parts = parts
+        self.admitted = admitted
+        self.caller = caller
+        self.avoid = set()
+        self.sent = 0
+        self.refused = 0
+        self.maybe_ran = False
+        self.full = False
+        self.unsent = False
+        self.splitter = None
+        self.version = b""
+        route = admitted.route
+        if route.kind == model.Kind.STREAM:
+            asked = admitted.asked
+            last = asked.last_event if asked.resumed else None
+            self.splitter = events.Splitter(ingress.event_id, last)
+
+    async def serve(self):
+        """Make attempts until one has answered."""
+        admitted = self.admitted
+        parts = self.parts
+        parts.budget.note_request(admitted.service.name, trio.current_time())
+        if admitted.asked.model:
+            parts.flights.ask(admitted.asked.model)
+        need = placing.Need(admitted.service, admitted.asked, admitted.until)
+        failed = None
+        while True:
+            sighting = None
+            if failed is not None:
+                self._check_again(failed)
+                sighting = placing.find(parts, need, self.avoid)
+                if sighting is None and self.full:
+                    raise failed
+                if sighting is None:
+                    # The only endpoint left is better than none.
+                    self.avoid.clear()
+            if sighting is None:
+                sighting = await placing.place(parts, need, self.avoid)
+            self.full = False
+            failed = await self._attempt(sighting)
+            if failed is None:
+                return
+
+    def _check_again(self, failed):
+        """Raise if the request may not be sent again."""
+        route = self.admitted.route
+        again = not self.maybe_ran or route.repeatable
+        left = self.refused < MAX_REFUSED and self.sent < max(
+            1, route.max_attempts
+        )
+        if again and left and (self.unsent or self._take_retry()):
+            self.unsent = False
+            return
+        raise failed
+
+    def _take_retry(self):
+        self.parts.metrics.retried()
+        return self.parts.budget.take(
+            self.admitted.service.name,
+            trio.current_time(),
+            len(self.parts.entries()),
+        )
+
+    def timed_out(self):
+        """Return the error of a request that ran out of time."""
+        return self._gave_up("deadline", "it could not be answered in time")
+
+    def _gave_up(self, code, message):
+        if self.caller.started:
+            return exceptions.ReplyError(message)
+        if self.maybe_ran:
+            return refusals.refused(code, message, 504, messages.UNKNOWN)
+        return refusals.refused(code, message, 503, retry_after_s=0.3)
+
+    async def _attempt(self, sighting):
+        """Send the request to one endpoint.
+
+        Returns
+        -------
+        Exception or None
+            What to raise if the request is not sent again; None once
+            the caller is answered.
+        """
+        endpoint = sighting.endpoint
+        admitted = self.admitted
+        left_s = admitted.until - trio.current_time()
+        if left_s < MIN_LEFT_S:
+            return self.timed_out()
+        req = exchange.Request(
+            id=admitted.asked.id,
+            method=admitted.incoming.method,
+            target=admitted.incoming.target,
+            headers=self._headers(endpoint, left_s),
+            body=admitted.incoming.body,
+        )
+        self.avoid.add(endpoint.id)
+        tokens = admitted.asked.prompt_tokens
+        began = trio.current_time()
+        outcome = "?"
+        try:
+            with self.parts.flights.flying(
+                endpoint.id, tokens, admitted.asked.model
+            ):
+                outcome, failed = await self._exchange(endpoint, req)
+        except trio.Cancelled:
+            outcome = "cancelled"
+            raise
+        finally:
+            logger.info(
+                "attempt: id={} endpoint={} model={} outcome={} took_ms={:.0f}"
+                " left_ms={:.0f} config={} seen_age_s={:.1f}",
+                admitted.asked.id,
+                endpoint.id,
+                admitted.asked.model,
+                outcome,
+                (trio.current_time() - began) * 1000,
+                left_s * 1000,
+                self.parts.knowledge.config.version,
+                trio.current_time() - self.parts.knowledge.scanned_at,
+            )
+        return failed
+
+    def _headers(self, endpoint, left_s):
+        admitted = self.admitted
+        splitter = self.splitter
+        resumed = splitter is not None and splitter.count
+        return ingress.outgoing(
+            admitted.incoming.headers,
+            endpoint.id,
+            admitted.customer.name if admitted.customer else "",
+            left_s,
+            admitted.urgency if admitted.asked.model else None,
+            splitter.last if resumed else None,
+            self.version if resumed else b"",
+        )
+
+    async def _exchange(self, endpoint, req):
+        """Return the attempt's outcome for the log, and `_attempt`'s."""
+        name = endpoint.id
+        ran_before = self.maybe_ran
+        self.maybe_ran = True
+        silent = trio.CancelScope()
+        try:
+            with silent:
+                silent.deadline = self._silent_at()
+                async with self.parts.exchanges.open(
+                    endpoint.address, req, CONNECT_TIMEOUT_S
+                ) as reply:
+                    return await self._take(
+                        endpoint, reply, ran_before, silent
+                    )
+        except exceptions.NotSentError as exc:
+            self.maybe_ran = ran_before
+            self.refused += 1
+            self.unsent = True
+            self.parts.fail(name)
+            await self.parts.exchanges.forget(endpoint.address)
+            return "unreached", self._gave_up("unreached", str(exc))
+        except exceptions.ReplyError as exc:
+            self.sent += 1
+            self.parts.note(name, False)
+            if self.splitter is not None:
+                self.splitter.restart()
+            return f"broken: {exc}", self._broken(str(exc))
+        # The endpoint was silent for too long.
+        self.sent += 1
+        self.parts.note(name, False)
+        return "silent", self._broken("the endpoint did not answer")
+
+    def _silent_at(self):
+        """Return when an endpoint that has not answered is given up."""
+        route = self.admitted.route
+        more = route.repeatable and self.sent + 1 < route.max_attempts
+        if not more:
+            return float("inf")
+        wait_s = max(MIN_SILENT_S, SILENT_AIMS * route.aim_s)
+        return trio.current_time() + wait_s
+
+    def _broken(self, message):
+        if self.caller.started:
+            return exceptions.ReplyError(message)
+        return refusals.refused(
+            "endpoint_failed", message, 502, messages.UNKNOWN
+        )
+
+    async def _take(self, endpoint, reply, ran_before, silent):
+        """Pass a reply on, or tell why not."""
+        if ingress.is_not_run(reply):
+            self.maybe_ran = ran_before
+            return await self._not_run(endpoint, reply)
+        if reply.status >= OK_BELOW:
+            return await self._failure(endpoint, reply)
+        if not ingress.seal(reply) or reply.header(b"content-encoding"):
+            raise exceptions.ReplyError("a reply without a valid signature")
+        if self.splitter is not None:
+            await self._relay(reply, silent)
+        else:
+            body = await reply.read()
+            silent.deadline = float("inf")
+            await self.caller.answer(
+                callers.Answer(
+                    reply.status, ingress.returned(reply.headers), body
+                )
+            )
+        self.parts.note(endpoint.id, True)
+        return "ok", None
+
+    async def _not_run(self, endpoint, reply):
+        self.refused += 1
+        name = self.admitted.asked.model
+        if reply.status == ingress.MISDIRECTED:
+            adapter = self.admitted.asked.adapter
+            full = f"{name}/{adapter}" if adapter else name
+            self.parts.lacks(endpoint.id, full, LACKS_S)
+            # It may hold it by the time that others were tried.
+            self.avoid.discard(endpoint.id)
+        else:
+            self.full = True
+        if self.maybe_ran:
+            failed = self._broken("no endpoint is left")
+        else:
+            failed = refusals.refused(
+                "endpoint_full",
+                "the endpoints are full; come back",
+                503,
+                retry_after_s=0.3,
+            )
+        return f"not_run {reply.status}", failed
+
+    async def _failure(self, endpoint, reply):
+        """Take a failure of the endpoint itself; pass it on at last."""
+        body = await reply.read()
+        self.sent += 1
+        self.parts.note(endpoint.id, reply.status < SERVER_ERROR)
+        outcome = f"failed {reply.status}"
+        if self.caller.started:
+            return outcome, exceptions.ReplyError("the stream cannot go on")
+        answer = callers.Answer(
+            reply.status, ingress.returned(reply.headers), body
+        )
+        return outcome, exceptions.AnsweredError(answer)
+
+    async def _relay(self, reply, silent):
+        """Pass a stream's events on as they come."""
+        caller = self.caller
+        splitter = self.splitter
+        pending = bytearray()
+
+        async def flush():
+            if pending:
+                data = bytes(pending)
+                pending.clear()
+                if not caller.started:
+                    await self._start(reply)
+                silent.deadline = float("inf")
+                await caller.send(data)
+
+        async for part in reply.parts(flush):
+            pending += splitter.feed(part)
+        if splitter.pending:
+            raise exceptions.ReplyError("a stream ended within an event")
+        await flush()
+        if not caller.started:
+            await self._start(reply)
+        await caller.send(b"", more=False)
+
+    async def _start(self, reply):
+        self.version = ingress.weights_version(reply)
+        await self.caller.start(reply.status, ingress.returned(reply.headers))
--- /dev/null
+++ b/dogwoodwheel/entry/spending.py
@@ -0,0 +1,163 @@
+"""Customers' rates and bursts over all entries, decided at each alone.
+
+Notes
+-----
+Load patterns: one customer sends many times its usual through all
+entries at once; entries are cut off from each other while callers still
+reach both sides; entries are killed and start again.
+
+Each entry charges every customer's bucket with its own requests at once
+and with those of its peers as their beats tell.  What is spent twice is
+what peers admit between two beats.  While a peer is silent it may be
+spending on the other side of a cut, so its part of the refill is left
+to it: the parts of all sides add up to the rate.
+"""
+
+from dogwoodwheel.entry import model
+
+__all__ = ["Bucket", "Spending", "units"]
+
+# Part of the burst that a restarted entry begins with, since it does not
+# know what was spent just before.
+RESTARTED_PART = 0.25
+
+
+def units(customer, asked):
+    """Return what a request counts against its customer's rate.
+
+    Parameters
+    ----------
+    customer : dogwoodwheel.entry.model.Customer
+    asked : object
+        With ``prompt_tokens`` and ``output_tokens``.
+
+    Examples
+    --------
+    >>> units(model.Customer("a"), None)
+    1.0
+    """
+    if not customer.in_tokens:
+        return 1.0
+    return float(asked.prompt_tokens + asked.output_tokens) or (
+        customer.plain_tokens
+    )
+
+
+class Bucket:
+    """One customer's bucket, as one entry sees it.
+
+    Parameters
+    ----------
+    rate, burst : float
+        Units a second, and at once, over all entries.
+    level : float
+    now : float
+        Seconds.
+    """
+
+    def __init__(self, rate, burst, level, now):
+        self.rate = rate
+        self.burst = burst
+        self.level = min(level, burst)
+        self._now = now
+
+    def refill(self, now, part):
+        """Add what the rate earned, times this side's part of it."""
+        earned = self.rate * part * max(0.0, now - self._now)
+        self.level = min(self.burst, self.level + earned)
+        self._now = now
+
+    def change(self, rate, burst):
+        """Take another rate and burst; what was spent stays spent."""
+        self.level += burst - self.burst
+        self.rate = rate
+        self.burst = burst
+
+    def wait_s(self, need):
+        """Return the time until so much is there, seconds."""
+        if need <= self.level:
+            return 0.0
+        return (need - self.level) / self.rate if self.rate else 0.0
+
+
+class Spending:
+    """Buckets of all customers at one entry.
+
+    Parameters
+    ----------
+    first_start : bool
+        Whether the whole system starts for the first time.
+
+    Attributes
+    ----------
+    spent : dict of str to float
+        Units that this entry charged to each customer.
+    """
+
+    def __init__(self, first_start):
+        self.spent = {}
+        self._start = 1.0 if first_start else RESTARTED_PART
+        self._buckets = {}
+
+    def charge(self, customer, need, now, part):
+        """Charge a request; return 0, or seconds until it fits.
+
+        Parameters
+        ----------
+        customer : dogwoodwheel.entry.model.Customer
+        need : float
+            Units.
+        now : float
+            Seconds.
+        part : float
+            Part of the refill that is this side's, 0 to 1.
+        """
+        if not customer.rate:
+            return 0.0
+        bucket = self._bucket(customer, now, part)
+        # A request above the whole burst fits into a full bucket.
+        wait_s = bucket.wait_s(min(need, bucket.burst))
+        if wait_s > 0:
+            return wait_s
+        bucket.level -= need
+        self.spent[customer.name] = self.spent.get(customer.name, 0.0) + need
+        return 0.0
+
+    def give_back(self, customer, need):
+        """Take back the charge of a request that did not run."""
+        bucket = self._buckets.get(customer.name)
+        if bucket is not None and customer.rate:
+            bucket.level = min(bucket.burst, bucket.level + need)
+            self.spent[customer.name] -= need
+
+    def hear(self, before, spent):
+        """Charge what a peer spent since its beat before.
+
+        Parameters
+        ----------
+        before : dict of str to float or None
+            None for the first beat of an incarnation that is heard;
+            what it spent earlier is gone from the bucket by now.
+        spent : dict of str to float
+        """
+        if before is None:
+            return
+        for name, total in spent.items():
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                bucket.level -= total - before.get(name, 0.0)
+                bucket.level = max(bucket.level, -bucket.burst)
+
+    def _bucket(self, customer, now, part):
+        bucket = self._buckets.get(customer.name)
+        if bucket is None:
+            bucket = self._buckets[customer.name] = Bucket(
+                customer.rate,
+                customer.burst,
+                customer.burst * self._start,
+                now,
+            )
+        elif (bucket.rate, bucket.burst) != (customer.rate, customer.burst):
+            bucket.change(customer.rate, customer.burst)
+        bucket.refill(now, part)
+        return bucket
--- a/dogwoodwheel/exceptions.py
+++ b/dogwoodwheel/exceptions.py
@@ -7,11 +7,14 @@
 """
 
 __all__ = [
+    "AnsweredError",
+    "BusyError",
     "ConflictError",
     "DeclarationError",
     "DogwoodwheelError",
     "EndpointError",
     "FencedError",
+    "HistoryLostError",
     "NotSentError",
     "OutcomeUnknownError",
     "PeerError",
@@ -57,6 +60,10 @@
     """A row has another version than expected; read it and try again."""
 
 
+class HistoryLostError(PlatformError):
+    """The store has forgotten a version; read the whole table."""
+
+
 class EndpointError(DogwoodwheelError):
     """An endpoint did not answer an order or a status call."""
 
@@ -65,6 +72,10 @@
     """An endpoint refused an order for its old fencing number."""
 
 
+class BusyError(EndpointError):
+    """An endpoint carries out another order; try again after it."""
+
+
 class NotSentError(EndpointError):
     """No byte of a request reached the endpoint; a retry is safe."""
 
@@ -93,3 +104,16 @@
     def __init__(self, refusal):
         self.refusal = refusal
         super().__init__(refusal.message)
+
+
+class AnsweredError(DogwoodwheelError):
+    """An endpoint answered with a failure, which the caller gets.
+
+    Parameters
+    ----------
+    answer : dogwoodwheel.requests.callers.Answer
+    """
+
+    def __init__(self, answer):
+        self.answer = answer
+        super().__init__(f"the endpoint answered {answer.status}")
--- /dev/null
+++ b/dogwoodwheel/platform/boot.py
@@ -0,0 +1,97 @@
+"""The platform's settings file of one process."""
+
+import os
+import pathlib
+
+from dogwoodwheel.entry import model
+from dogwoodwheel import exceptions
+
+__all__ = ["path", "read"]
+
+PATH_VARIABLE = "DOGWOODWHEEL_BOOT"
+# Offsets into the range of ports that are free on each VM.
+PEERS_OFFSET = 0
+METRICS_OFFSET = 1
+MILLISECONDS = 1000.0
+
+
+def path():
+    """Return the path of the settings file.
+
+    Raises
+    ------
+    SettingsError
+        If the platform names none.
+    """
+    try:
+        return pathlib.Path(os.environ[PATH_VARIABLE])
+    except KeyError:
+        raise exceptions.SettingsError(
+            f"{PATH_VARIABLE} is not set; it names the settings file"
+        ) from None
+
+
+def read(file):
+    """Return the settings in a file.
+
+    Parameters
+    ----------
+    file : pathlib.Path
+
+    Returns
+    -------
+    dogwoodwheel.entry.model.Settings
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read, or a field is missing or malformed.
+    """
+    try:
+        fields = _fields(file.read_text())
+        return _settings(fields)
+    except OSError as exc:
+        raise exceptions.SettingsError(f"{file}: {exc}") from exc
+    except KeyError as exc:
+        raise exceptions.SettingsError(
+            f"{file}: field {exc} is missing; the platform sets it"
+        ) from exc
+    except ValueError as exc:
+        raise exceptions.SettingsError(f"{file}: {exc}") from exc
+
+
+def _fields(text):
+    fields = {}
+    for line in text.splitlines():
+        name, equals, value = line.partition("=")
+        if equals:
+            fields[name.strip()] = value.strip()
+    return fields
+
+
+def _settings(fields):
+    first_port = int(fields["portRange"].split(",")[0])
+    ip = fields["ip"]
+    return model.Settings(
+        name=fields["node"],
+        zone=fields["zone"],
+        region=fields["region"],
+        front=fields["listen.front"],
+        readiness=fields["listen.readiness"],
+        directory=fields["listen.directory"],
+        peers=f"{ip}:{first_port + PEERS_OFFSET}",
+        metrics=f"{ip}:{first_port + METRICS_OFFSET}",
+        store=fields["platform.address"],
+        first_start=fields.get("bootstrap") == "true",
+        drain_s=_seconds(fields, "bounds.drainMs", 2000),
+        grace_s=float(fields.get("bounds.graceS", 8)),
+        lease_s=_seconds(fields, "bounds.leaseMs", 3000),
+        retry_ratio=float(fields.get("bounds.retryBudgetRatio", 0.2)),
+        retry_slack=float(fields.get("bounds.budgetSlack", 50)),
+        retry_window_s=float(fields.get("bounds.budgetWindowS", 10)),
+        directory_ttl_s=float(fields.get("bounds.ttl_max_s", 5)),
+    )
+
+
+def _seconds(fields, name, default):
+    return float(fields.get(name, default)) / MILLISECONDS
--- /dev/null
+++ b/dogwoodwheel/platform/store.py
@@ -0,0 +1,232 @@
+"""Client of the platform's store of rows."""
+
+import base64
+import dataclasses
+import json
+import urllib.parse
+
+from dogwoodwheel.engines import exchange
+from dogwoodwheel import exceptions
+
+__all__ = ["Changes", "Row", "Rows", "Store"]
+
+# A call takes 4 ms as a rule; one that takes longer than this is better
+# repeated on another connection.
+TIMEOUT_S = 1.0
+# Rows of one page, the most that the platform returns.
+PAGE_ROWS = 500
+OK = 200
+CONFLICT = 412
+COMPACTED = 410
+HEADERS = ((b"content-type", b"application/json"),)
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """A row of a table.
+
+    Parameters
+    ----------
+    table, key : str
+    version : int
+        Grows with each write of any row; 0 where the row is absent.
+    value : bytes or None
+        None where the row was deleted or is absent.
+    """
+
+    table: str
+    key: str
+    version: int
+    value: bytes = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Rows:
+    """Rows as of one moment.
+
+    Parameters
+    ----------
+    rows : tuple of Row
+    version : int
+        The store's newest version.
+    """
+
+    rows: tuple
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Changes(Rows):
+    """Rows that changed after a version, in order."""
+
+
+class Store:
+    """The calls that an entry makes of the platform's store.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT``.
+    exchanges : dogwoodwheel.engines.exchange.Exchanges
+
+    Attributes
+    ----------
+    calls : int
+        Calls that were made.
+    """
+
+    def __init__(self, address, exchanges):
+        self.address = address
+        self.calls = 0
+        self._exchanges = exchanges
+
+    async def scan(self, table, first="", last=""):
+        """Return all rows of a table, or of a range of its keys.
+
+        Parameters
+        ----------
+        table : str
+        first, last : str
+            The range has the first one, not the last one.
+
+        Returns
+        -------
+        Rows
+            Of several pages, with the version of the first.
+
+        Raises
+        ------
+        PlatformError
+        """
+        rows = []
+        version = None
+        while True:
+            query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
+            if first:
+                query["from"] = first
+            if last:
+                query["to"] = last
+            body = await self._get("rows-get", query)
+            rows.extend(_row(row) for row in body["rows"])
+            version = body["ver"] if version is None else version
+            if not body.get("hasMore"):
+                return Rows(tuple(rows), version)
+            first = rows[-1].key + "\0"
+
+    async def read(self, table, key):
+        """Return one row; an absent one has version 0."""
+        found = await self.scan(table, key, key + "\0")
+        for row in found.rows:
+            if row.key == key:
+                return row
+        return Row(table, key, 0)
+
+    async def changes(self, table, after, wait_s):
+        """Return rows changed after a version, as soon as there are any.
+
+        Raises
+        ------
+        HistoryLostError
+            If the store has forgotten that version; read the table.
+        PlatformError
+        """
+        query = {
+            "table": table,
+            "after": str(after),
+            "waitMs": str(int(wait_s * 1000)),
+        }
+        body = await self._get("rows-feed", query, wait_s + TIMEOUT_S)
+        rows = tuple(_row(row) for row in body["rows"])
+        return Changes(rows, body["ver"])
+
+    async def commit(self, expected, writes, removes=()):
+        """Write rows if others have the expected versions.
+
+        Parameters
+        ----------
+        expected : sequence of Row
+            Their values are ignored.
+        writes : sequence of Row
+            Their versions are ignored.
+        removes : sequence of Row
+
+        Returns
+        -------
+        int
+            Version of the rows written.
+
+        Raises
+        ------
+        ConflictError
+            If a row has another version; nothing took effect.
+        OutcomeUnknownError
+            If it was sent and no reply came; it may take effect later,
+            if its condition still holds.
+        PlatformError
+            If nothing took effect.
+        """
+        body = {
+            "expected": [{**_name(r), "ver": r.version} for r in expected],
+            "writes": [
+                {**_name(r), "value": base64.b64encode(r.value).decode()}
+                for r in writes
+            ],
+            "remove": [_name(r) for r in removes],
+        }
+        reply = await self._call(
+            "POST", b"/api/rows-tx", json.dumps(body).encode(), TIMEOUT_S
+        )
+        return reply["ver"]
+
+    async def _get(self, name, query, timeout_s=TIMEOUT_S):
+        target = f"/api/{name}?{urllib.parse.urlencode(query)}".encode()
+        return await self._call("GET", target, b"", timeout_s)
+
+    async def _call(self, method, target, body, timeout_s):
+        self.calls += 1
+        req = exchange.Request("", method, target, HEADERS, body)
+        try:
+            status, data = await self._exchanges.call(
+                self.address, req, timeout_s
+            )
+        except exceptions.NotSentError as exc:
+            raise exceptions.PlatformError(
+                f"the store {self.address} cannot be reached; is it up?"
+            ) from exc
+        except exceptions.ReplyError as exc:
+            raise exceptions.OutcomeUnknownError(
+                "the store sent no reply; read back what it holds"
+            ) from exc
+        _check(status, target)
+        try:
+            return json.loads(data)
+        except ValueError as exc:
+            raise exceptions.OutcomeUnknownError(
+                "the store's reply is malformed; read back what it holds"
+            ) from exc
+
+
+def _check(status, target):
+    if status == CONFLICT:
+        raise exceptions.ConflictError(
+            "a row has another version; read it and try again"
+        )
+    if status == COMPACTED:
+        raise exceptions.HistoryLostError(
+            "the store has forgotten that version; read the table"
+        )
+    if status != OK:
+        raise exceptions.PlatformError(
+            f"the store replied {status} to {target[:40].decode()}; "
+            f"try again later"
+        )
+
+
+def _name(row):
+    return {"table": row.table, "part": "", "key": row.key}
+
+
+def _row(raw):
+    deleted = raw.get("deleted") or raw.get("value") is None
+    value = None if deleted else base64.b64decode(raw["value"])
+    return Row(raw["table"], raw["key"], raw["ver"], value)
--- a/dogwoodwheel/wire/messages.py
+++ b/dogwoodwheel/wire/messages.py
@@ -17,6 +17,7 @@
     "Borrow",
     "Config",
     "Done",
+    "EntryBeat",
     "Ensure",
     "Ensured",
     "Grant",
@@ -271,6 +272,61 @@
     weight: float = 1.0
 
 
+@dataclasses.dataclass(frozen=True)
+class EntryBeat:
+    """What an entry tells its peers about itself, several times a second.
+
+    Parameters
+    ----------
+    id : int
+        Grows with each beat of an incarnation.
+    name, incarnation, zone : str
+    peers, front : str
+        ``IP:PORT`` for datagrams of peers, and for callers.
+    state : str
+        ``starting``, ``serving`` or ``leaving``.
+    config_version : int
+    store_age_s : float
+        Seconds since the platform's store answered it.
+    known : tuple of str
+        Addresses of peers that it hears.
+    load : dict of str to (int, int, dict of str to int)
+        Requests and prompt tokens that it has in flight at each
+        endpoint, and requests by model.
+    outcomes : dict of str to (float, float)
+        Recent good and bad outcomes at each endpoint.
+    spent : dict of str to float
+        Units charged to each customer since the process's start.
+    asked : dict of str to int
+        Requests for each model since the process's start.
+    waiting : dict of str to int
+        Requests that wait for ``MODEL`` or ``MODEL/ADAPTER``.
+    lease : tuple of (int, int) or None
+        Fencing token and version of the lease that it holds.
+    holdings : dict
+        What each engine holds, if the sender leads: endpoint to
+        (age in seconds, models with adapters, model on its way).
+    """
+
+    id: int
+    name: str
+    incarnation: str
+    zone: str
+    peers: str
+    front: str
+    state: str
+    config_version: int = 0
+    store_age_s: float = 0.0
+    known: tuple = ()
+    load: dict = dataclasses.field(default_factory=dict)
+    outcomes: dict = dataclasses.field(default_factory=dict)
+    spent: dict = dataclasses.field(default_factory=dict)
+    asked: dict = dataclasses.field(default_factory=dict)
+    waiting: dict = dataclasses.field(default_factory=dict)
+    lease: tuple = None
+    holdings: dict = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(frozen=True)
 class Ensure:
     """Ask a model's decider for endpoints that hold or load it.
