--- a/dogwoodwheel/entry/app.py
+++ b/dogwoodwheel/entry/app.py
@@ -6,8 +6,8 @@
 from loguru import logger
 import trio
 
-from dogwoodwheel import exceptions
 from dogwoodwheel.entry import serving
+from dogwoodwheel import exceptions
 from dogwoodwheel.platform import directory
 from dogwoodwheel.requests import callers
 from dogwoodwheel.requests import refusals
--- a/dogwoodwheel/entry/board.py
+++ b/dogwoodwheel/entry/board.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import socket
+import zlib
 
 from loguru import logger
 import trio
@@ -20,7 +21,7 @@
 SERVING = "serving"
 # Pause between two beats of a small fleet, and what each further entry
 # adds, so that the datagrams that one entry takes stay below 80 a second.
-MIN_INTERVAL_S = 0.2
+MIN_INTERVAL_S = 0.25
 INTERVAL_PER_ENTRY_S = 0.0125
 # Beats that may be lost before a peer counts as silent.
 SILENT_BEATS = 4
@@ -29,6 +30,8 @@
 FORGET_S = 15.0
 DATAGRAM_BYTES = 65536
 HEAD_BYTES = codec.HEAD.size
+# Bytes between availability zones cost more than compressing them.
+COMPRESSION = 6
 
 
 def interval_s(entries):
@@ -129,7 +132,7 @@
 
     async def tell(self):
         """Send this entry's beat to all peers."""
-        frame = codec.encode(self._compose())
+        frame = zlib.compress(codec.encode(self._compose()), COMPRESSION)
         targets = {peer.beat.peers for peer in self.peers.values()}
         for address in targets | self.contacts:
             host, _, port = address.rpartition(":")
@@ -142,7 +145,7 @@
         while True:
             try:
                 frame, _ = await self._sock.recvfrom(DATAGRAM_BYTES)
-                beat, _ = codec.decode(frame[HEAD_BYTES:])
+                beat, _ = codec.decode(_inflated(frame)[HEAD_BYTES:])
             except OSError as exc:
                 # An earlier datagram met a closed port.
                 logger.debug("board: receive ({!r})", exc)
@@ -187,3 +190,12 @@
                 del self.peers[name]
                 self.contacts.discard(peer.beat.peers)
                 logger.info("board: peer forgotten name={}", name)
+
+
+def _inflated(data):
+    try:
+        return zlib.decompress(data)
+    except zlib.error as exc:
+        raise exceptions.WireError(
+            "a datagram is malformed; is the sender a dogwoodwheel entry?"
+        ) from exc
--- a/dogwoodwheel/entry/leader.py
+++ b/dogwoodwheel/entry/leader.py
@@ -6,9 +6,9 @@
 from loguru import logger
 import trio
 
-from dogwoodwheel import exceptions
 from dogwoodwheel.entry import model
 from dogwoodwheel.entry import planner
+from dogwoodwheel import exceptions
 
 __all__ = ["Leader", "Rates"]
 
@@ -17,11 +17,19 @@
 ROUND_S = 0.25
 REPORT_S = 0.6
 BUSY_REPORT_S = 0.15
-# Reports lag by some hundred milliseconds, so one that is older than
-# our last order is ignored for so long.
-REPORT_LAG_S = 2.0
-# Time after which an order that got no answer counts as not taken.
-UNANSWERED_S = 0.6
+# Time for which a report that shows fewer orders than were taken is
+# thought to lag; after it the engine is thought to have started anew.
+RESTARTED_S = 2.0
+# Pause after an order that was refused or got no answer, seconds.
+REFUSED_PAUSE_S = 0.3
+# Pause after one that met another order, which mostly ends at once.
+BUSY_PAUSE_S = 0.06
+# Such orders in a row after which a report is read first.
+BUSY_TRIES = 5
+# Time for which an engine is kept for the model it made room for.
+RESERVED_S = 1.0
+# Time after which an adapter that was ordered is taken to be there.
+ADAPTER_S = 0.02
 # Demand is averaged over about this time, seconds.
 RATE_HALF_LIFE_S = 4.0
 # Loads from the weight store that may begin at once.
@@ -87,6 +95,18 @@
     coming, leaving : str
         Model on its way in or out; empty for none.
     from_store : bool
+    fresh_from : float
+        Time from which on a report tells what became of our orders.
+    sending : bool
+        Whether an order is on its way.
+    not_before : float
+        Time of the next order.
+    refused : int
+        Orders in a row that met another one.
+    reserved : tuple of (str, float)
+        Model for which room was made, and until when.
+    ahead : set of str
+        Models that were loaded ahead of need.
     """
 
     endpoint: model.Endpoint
@@ -97,6 +117,20 @@
     coming: str = ""
     leaving: str = ""
     from_store: bool = False
+    fresh_from: float = -1e9
+    sending: bool = False
+    not_before: float = -1e9
+    refused: int = 0
+    reserved: tuple = ("", -1e9)
+    ahead: set = dataclasses.field(default_factory=set)
+
+    def may_take(self, now):
+        """Tell whether its newest report allows another order."""
+        return (
+            not self.sending
+            and now >= self.not_before
+            and self.at >= self.fresh_from <= now
+        )
 
 
 class Leader:
@@ -187,6 +221,7 @@
         now = trio.current_time()
         for name, engine in self._engines.items():
             moving = engine.coming or engine.leaving or engine.report is None
+            moving = moving or engine.at < engine.fresh_from
             pause_s = BUSY_REPORT_S if moving else REPORT_S
             if name in self._asking or now - engine.at < pause_s:
                 continue
@@ -201,32 +236,31 @@
         except exceptions.EndpointError as exc:
             logger.debug("leader: no report of {} ({})", name, exc)
             engine.at = trio.current_time()
+            engine.fresh_from = engine.at + REFUSED_PAUSE_S
         finally:
             self._asking.discard(name)
 
     def _take(self, name, engine, report, at):
         engine.at = at
-        lag_s = at - engine.ordered_at
-        if report.accepted < engine.accepted and lag_s < REPORT_LAG_S:
+        if engine.sending or at < engine.fresh_from:
             return
-        if (
-            report.accepted <= engine.accepted
-            and lag_s < UNANSWERED_S
-            and (engine.report is not None)
-            and not report.busy
-            and (engine.coming or engine.leaving)
+        if report.accepted < engine.accepted and (
+            at - engine.ordered_at < RESTARTED_S
         ):
-            # It may not show our order yet.
-            if engine.coming not in report.models:
-                return
+            return
         engine.accepted = report.accepted
         engine.report = report
         if not report.busy:
             engine.coming = engine.leaving = ""
             engine.from_store = False
+        self._show(name, engine, at)
+
+    def _show(self, name, engine, at):
+        """Tell requests here and at the peers what an engine holds."""
+        models = engine.report.models
         before = self.parts.knowledge.holdings.get(name)
-        self.parts.knowledge.hold(name, report.models, at, engine.coming)
-        if before is None or before[1:] != (report.models, engine.coming):
+        self.parts.knowledge.hold(name, models, at, engine.coming)
+        if before is None or before[1:] != (models, engine.coming):
             self.parts.board.hurry()
 
     def _order(self, nursery):
@@ -274,6 +308,7 @@
         return self._tokens
 
     def _view(self, name, engine):
+        now = trio.current_time()
         flying = collections.Counter()
         beats = [p.beat.load for p in self.parts.board.live().values()]
         for loads in [self.parts.flights.loads(), *beats]:
@@ -286,10 +321,14 @@
             models=report.models,
             in_memory=report.in_memory,
             on_disk=report.on_disk,
-            busy=report.busy or bool(engine.coming or engine.leaving),
+            busy=report.busy
+            or bool(engine.coming or engine.leaving)
+            or not engine.may_take(now),
             coming=engine.coming,
             from_store=engine.from_store,
             in_flight=dict(flying),
+            reserved=engine.reserved[0] if now < engine.reserved[1] else "",
+            ahead=frozenset(engine.ahead),
         )
 
     def _waiting(self):
@@ -304,23 +343,31 @@
             spec, views, demand, reports, self._used
         ):
             engine = engines[order.endpoint]
-            if trio.current_time() - engine.ordered_at < 0.03:
+            if not engine.may_take(trio.current_time()):
                 continue
             key = (order.endpoint, order.model, order.adapter)
             self._used[key] = trio.current_time()
-            engine.ordered_at = trio.current_time()
+            engine.sending = True
             nursery.start_soon(self._send, engine, order, "asked for")
 
     def _give(self, nursery, engine, step, demand):
         order = step.order
-        engine.ordered_at = trio.current_time()
+        if not engine.may_take(trio.current_time()):
+            return
+        engine.sending = True
         if order.load:
             engine.coming = order.model
+            engine.reserved = ("", -1e9)
+            if step.why == planner.AHEAD:
+                engine.ahead.add(order.model)
             engine.from_store = step.from_store
             if step.from_store:
                 self._tokens -= 1
         else:
             engine.leaving = order.model
+            engine.ahead.discard(order.model)
+            until = trio.current_time() + RESERVED_S
+            engine.reserved = (step.for_model, until)
         why = (
             f"{step.why} for={step.for_model} "
             f"rate={demand.rate(step.for_model):.2f} store={step.from_store}"
@@ -328,33 +375,15 @@
         nursery.start_soon(self._send, engine, order, why)
 
     async def _send(self, engine, order, why):
-        if not self.lease.may_order:
-            return
+        """Give an order, and take in what became of it."""
         began = trio.current_time()
-        outcome = "taken"
+        expected = engine.accepted
+        outcome = "not sent"
         try:
-            taken = await self.client.order(
-                engine.endpoint,
-                order,
-                self.lease.token,
-                self.parts.settings.name,
-                engine.accepted,
-            )
-            if taken or order.adapter:
-                engine.accepted += 1
-            if not taken:
-                outcome = "holds"
-        except exceptions.FencedError as exc:
-            outcome = f"fenced {exc}"
-            self.lease.fenced()
-        except exceptions.EndpointError as exc:
-            outcome = f"failed {exc}"
-            if isinstance(exc, exceptions.BusyError):
-                engine.coming = engine.leaving = ""
+            if self.lease.may_order:
+                outcome = await self._deliver(engine, order)
         finally:
-            # The next report tells what became of it.
-            engine.at = -1e9
-            self.parts.metrics.ordered("load" if order.load else "unload")
+            engine.sending = False
             logger.info(
                 "order: endpoint={} load={} model={} adapter={} token={} "
                 "expected={} why={} outcome={!r} took_ms={:.0f}",
@@ -363,9 +392,62 @@
                 order.model,
                 order.adapter,
                 self.lease.token,
-                engine.accepted,
+                expected,
                 why,
                 outcome,
                 (trio.current_time() - began) * 1000,
             )
             self.parts.knowledge.changed()
+
+    async def _deliver(self, engine, order):
+        """Return the outcome of an order, for the log."""
+        self.parts.metrics.ordered("load" if order.load else "unload")
+        try:
+            taken = await self.client.order(
+                engine.endpoint,
+                order,
+                self.lease.token,
+                self.parts.settings.name,
+                engine.accepted,
+            )
+        except exceptions.FencedError as exc:
+            self.lease.fenced()
+            return f"fenced: {exc}"
+        except exceptions.BusyError as exc:
+            engine.coming = engine.leaving = ""
+            engine.refused += 1
+            engine.not_before = trio.current_time() + BUSY_PAUSE_S
+            if engine.refused >= BUSY_TRIES:
+                engine.refused = 0
+                engine.accepted = -1
+                engine.fresh_from = trio.current_time() + REFUSED_PAUSE_S
+            return f"failed: {exc}"
+        except exceptions.EndpointError as exc:
+            # A report that is read from then on tells what it did.
+            engine.fresh_from = trio.current_time() + REFUSED_PAUSE_S
+            engine.accepted = -1
+            return f"failed: {exc}"
+        engine.refused = 0
+        engine.ordered_at = trio.current_time()
+        if taken:
+            engine.accepted += 1
+        if order.adapter or not order.load:
+            await trio.sleep(ADAPTER_S)
+            engine.leaving = ""
+            engine.report = _after(engine.report, order)
+            self._show(order.endpoint, engine, trio.current_time())
+        return "taken" if taken else "holds"
+
+
+def _after(report, order):
+    """Return a report as it is once an order is carried out."""
+    models = dict(report.models)
+    if not order.adapter:
+        models.pop(order.model, None)
+    elif order.model in models:
+        had = models[order.model].adapters
+        change = {order.adapter}
+        models[order.model] = model.Loaded(
+            order.model, had | change if order.load else had - change
+        )
+    return dataclasses.replace(report, models=models)
--- a/dogwoodwheel/entry/membership.py
+++ b/dogwoodwheel/entry/membership.py
@@ -1,11 +1,11 @@
 """This entry among its peers: registration, beats and the directory."""
 
-import msgpack
 from loguru import logger
+import msgpack
 import trio
 
-from dogwoodwheel import exceptions
 from dogwoodwheel.entry import model
+from dogwoodwheel import exceptions
 from dogwoodwheel.platform import store as store_module
 from dogwoodwheel.wire import messages
 
--- a/dogwoodwheel/entry/planner.py
+++ b/dogwoodwheel/entry/planner.py
@@ -16,18 +16,24 @@
 
 from dogwoodwheel.entry import model
 
-__all__ = ["EngineView", "Demand", "Plan", "plan", "plan_adapters"]
+__all__ = ["AHEAD", "EngineView", "Demand", "Plan", "plan", "plan_adapters"]
 
+# Why a model is loaded.
+ABSENT = "absent"
+BUSY = "busy"
+AHEAD = "no copy"
 # Requests a second that one replica is to bear.
 RATE_PER_REPLICA = 0.7
 # Above this rate a model has a second replica in case one is lost.
 SPARE_RATE = 0.25
 # Below this rate, requests a second, a model's replica may make way.
 IDLE_RATE = 0.04
+# Above this rate an absent model is loaded though no request waits.
+ABSENT_RATE = 0.3
 # Gain in rate per replica by which one may displace another.
 DISPLACE_FACTOR = 2.0
 # Loads from the store that may go on while none is urgent, and at all.
-CALM_STORE_LOADS = 2
+CALM_STORE_LOADS = 1
 MAX_STORE_LOADS = 4
 # What one request in flight adds to the cost of a place, seconds.
 IN_FLIGHT_COST_S = 0.05
@@ -50,6 +56,10 @@
         Whether it comes from the weight store.
     in_flight : dict of str to int
         Requests by model.
+    reserved : str
+        Model for which room was just made; empty for none.
+    ahead : frozenset of str
+        Models that were loaded ahead of need.
     """
 
     id: str
@@ -60,6 +70,8 @@
     coming: str = ""
     from_store: bool = False
     in_flight: dict = dataclasses.field(default_factory=dict)
+    reserved: str = ""
+    ahead: frozenset = frozenset()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -158,20 +170,21 @@
         rate = self.demand.rate
         names = sorted(self.spec.models, key=lambda n: (-rate(n), n))
         for name in names:
-            if not self.replicas[name] and rate(name) > 0:
-                yield name, "absent"
+            waits = self.demand.waiting.get(name, 0)
+            if not self.replicas[name] and (waits or rate(name) > ABSENT_RATE):
+                yield name, ABSENT
         short = [n for n in names if self.wanted(n) > self.replicas[n] > 0]
         for name in sorted(
             short, key=lambda n: -rate(n) / max(1, self.replicas[n])
         ):
-            yield name, "busy"
+            yield name, BUSY
         for name in names:
             if not self.copies[name]:
-                yield name, "no copy"
+                yield name, AHEAD
 
     def wanted(self, name):
         """Return how many replicas a model's demand asks for."""
-        rate = self.demand.rate(name)
+        rate = self.demand.rates.get(name, 0.0)
         count = math.ceil(rate / RATE_PER_REPLICA)
         if rate > SPARE_RATE:
             count = max(2, count)
@@ -179,10 +192,14 @@
 
     def add(self, name, why):
         """Plan the load of a model at the best engine, if there is one."""
+        if why == ABSENT and self.copy_is_near(name):
+            return
         best = None
         for engine in self.engines.values():
             if engine.id in self.taken or name in engine.models:
                 continue
+            if engine.reserved not in ("", name):
+                continue
             found = self.cost(engine, name, why)
             if found is not None and (best is None or found[0] < best[0]):
                 best = (*found, engine)
@@ -202,6 +219,22 @@
         order = model.Order(engine.id, True, name)
         self.steps.append(Plan(order, name, why, from_store))
 
+    def copy_is_near(self, name):
+        """Tell whether an engine with a copy is just ending an order.
+
+        Notes
+        -----
+        Waiting for it takes less than a load from the weight store.
+        """
+        free = near = False
+        for engine in self.engines.values():
+            if name in engine.on_disk or name in engine.in_memory:
+                if engine.id not in self.taken:
+                    free = True
+                elif not engine.from_store:
+                    near = True
+        return near and not free
+
     def cost(self, engine, name, why):
         """Return cost, victims and source of a load, or None."""
         size_mb = self.spec.models[name].size_mb
@@ -242,7 +275,10 @@
 
     def may_use_store(self, why):
         """Tell whether a load from the weight store may begin."""
-        most = MAX_STORE_LOADS if why == "absent" else CALM_STORE_LOADS
+        # Without demand, nothing urgent is held up.
+        idle = not any(self.demand.rate(n) > IDLE_RATE for n in self.replicas)
+        urgent = why == ABSENT or idle
+        most = MAX_STORE_LOADS if urgent else CALM_STORE_LOADS
         return self.store_left > 0 and self.store_going < most
 
     def victims(self, engine, name, why):
@@ -253,13 +289,15 @@
                 continue
             if self.demand.waiting.get(held):
                 continue
+            if why == AHEAD and held not in engine.ahead:
+                continue
             left = self.replicas[held] - 1
             rate = self.demand.rate(held)
             gain = self.demand.rate(name) / (self.replicas[name] + 1)
             if rate > IDLE_RATE:
-                if why == "no copy":
+                if why == AHEAD:
                     continue
-                if self.wanted(held) > left and why == "busy":
+                if self.wanted(held) > left and why == BUSY:
                     if rate / max(left, 0.5) * DISPLACE_FACTOR > gain:
                         continue
                 if not left and rate > gain:
@@ -293,6 +331,7 @@
         if not adapter:
             continue
         holders = [e for e in engines if base in e.models]
+        holders = [e for e in holders if not e.busy] or holders
         if any(
             adapter in e.models[base].adapters or name in reports[e.id].coming
             for e in holders
--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -6,13 +6,13 @@
 from loguru import logger
 import trio
 
-from dogwoodwheel import exceptions
 from dogwoodwheel.engines import exchange
 from dogwoodwheel.entry import events
 from dogwoodwheel.entry import model
 from dogwoodwheel.entry import placing
 from dogwoodwheel.entry import routing
 from dogwoodwheel.entry import spending
+from dogwoodwheel import exceptions
 from dogwoodwheel.platform import ingress
 from dogwoodwheel.requests import callers
 from dogwoodwheel.requests import refusals
--- a/dogwoodwheel/entry/spending.py
+++ b/dogwoodwheel/entry/spending.py
@@ -13,8 +13,6 @@
 to it: the parts of all sides add up to the rate.
 """
 
-from dogwoodwheel.entry import model
-
 __all__ = ["Bucket", "Spending", "units"]
 
 # Part of the burst that a restarted entry begins with, since it does not
@@ -31,10 +29,9 @@
     asked : object
         With ``prompt_tokens`` and ``output_tokens``.
 
-    Examples
-    --------
-    >>> units(model.Customer("a"), None)
-    1.0
+    Returns
+    -------
+    float
     """
     if not customer.in_tokens:
         return 1.0
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -1,6 +1,5 @@
 """The program ``dogwoodwheel-entry``: an entry that decides alone."""
 
-import functools
 import pathlib
 import signal
 import socket
