Swap models in one go, and never load over a last copy

Ruled out: slow reports (3 ms) and the lease (held throughout). Logs are JSON lines on standard output, written by a thread that drops what nobody reads.

--- a/dogwoodwheel/entry/app.py
+++ b/dogwoodwheel/entry/app.py
@@ -68,9 +68,9 @@
             await caller.answer(exc.answer)
         except exceptions.ReplyError as exc:
             # Leaving without the end of the body cuts the connection.
-            logger.info("cut: id={} why={!r}", request_id, str(exc))
+            logger.info("cut", id=request_id, why=str(exc))
         except Exception:
-            logger.exception("fault: id={}", request_id)
+            logger.exception("fault", id=request_id)
             fault = refusals.refused(
                 "internal_error",
                 "a fault of this entry; look at its log",
@@ -86,7 +86,7 @@
 
             async def end_with_caller():
                 await caller.gone()
-                logger.info("gone: id={}", admitted.asked.id)
+                logger.info("gone", id=admitted.asked.id)
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(end_with_caller)
@@ -103,15 +103,14 @@
             return
         self.parts.metrics.refused(refusal.code)
         logger.info(
-            "refused: id={} status={} code={} run={} retry_after_s={:.2f} "
-            "held_ms={:.0f} why={!r}",
-            request_id,
-            refusal.status,
-            refusal.code,
-            refusal.run,
-            refusal.retry_after_s,
-            (trio.current_time() - at) * 1000,
-            refusal.message,
+            "refused",
+            id=request_id,
+            status=refusal.status,
+            code=refusal.code,
+            run=refusal.run,
+            retry_after_s=round(refusal.retry_after_s, 2),
+            held_ms=round((trio.current_time() - at) * 1000),
+            why=refusal.message,
         )
         body = refusals.body_of(refusal)
         headers = [(b"content-type", b"application/json")]
--- a/dogwoodwheel/entry/board.py
+++ b/dogwoodwheel/entry/board.py
@@ -139,7 +139,7 @@
             try:
                 await self._sock.sendto(frame, (host, int(port)))
             except OSError as exc:
-                logger.debug("board: {} not sent ({!r})", address, exc)
+                logger.debug("board: not sent", address=address, why=str(exc))
 
     async def _receive(self):
         while True:
@@ -148,11 +148,11 @@
                 beat, _ = codec.decode(_inflated(frame)[HEAD_BYTES:])
             except OSError as exc:
                 # An earlier datagram met a closed port.
-                logger.debug("board: receive ({!r})", exc)
+                logger.debug("board: not received", why=str(exc))
                 continue
             except exceptions.WireError as exc:
                 self.unreadable += 1
-                logger.warning("board: {}", exc)
+                logger.warning("board: malformed", why=str(exc))
                 continue
             self.take(beat, trio.current_time())
 
@@ -174,13 +174,13 @@
         self.contact(beat.known)
         if not same:
             logger.info(
-                "board: peer gained name={} incarnation={} address={}",
-                beat.name,
-                beat.incarnation,
-                beat.peers,
+                "board: peer gained",
+                name=beat.name,
+                incarnation=beat.incarnation,
+                address=beat.peers,
             )
         elif now - before.heard_at > self.silent_s():
-            logger.info("board: peer is heard again name={}", beat.name)
+            logger.info("board: peer is heard again", name=beat.name)
         self._on_beat(before.beat if same else None, beat)
 
     def _forget(self):
@@ -189,7 +189,7 @@
             if now - peer.heard_at > FORGET_S:
                 del self.peers[name]
                 self.contacts.discard(peer.beat.peers)
-                logger.info("board: peer forgotten name={}", name)
+                logger.info("board: peer forgotten", name=name)
 
 
 def _inflated(data):
--- a/dogwoodwheel/entry/choice.py
+++ b/dogwoodwheel/entry/choice.py
@@ -18,7 +18,7 @@
 PROMPT_TOKENS_PER_REQUEST = 4000.0
 OTHER_ZONE = 0.4
 KEPT_PREFIX = 1.5
-BAD_OUTCOMES = 12.0
+BAD_OUTCOMES = 20.0
 COLD = 6.0
 # Requests in flight by which a full batch weighs more.
 FULL = 40.0
--- a/dogwoodwheel/entry/following.py
+++ b/dogwoodwheel/entry/following.py
@@ -46,16 +46,16 @@
         try:
             await step()
             if lost:
-                logger.info("store: regained for={}", name)
+                logger.info("store: regained", task=name)
             lost = False
             pause_s = FIRST_PAUSE_S
         except exceptions.PlatformError as exc:
             if not lost:
                 logger.warning(
-                    "store: lost for={} age_s={:.1f} why={!r}",
-                    name,
-                    knowledge.store_age_s,
-                    str(exc),
+                    "store: lost",
+                    task=name,
+                    age_s=round(knowledge.store_age_s, 1),
+                    why=str(exc),
                 )
             lost = True
             await trio.sleep(pause_s)
@@ -83,7 +83,7 @@
                     operator.TABLE, self.version, FEED_S
                 )
             except exceptions.HistoryLostError as exc:
-                logger.info("store: history lost, reads anew ({})", exc)
+                logger.info("store: history lost, reads anew", why=str(exc))
                 self.version = None
                 return
             before = set(self.zones)
@@ -107,10 +107,10 @@
         else:
             self.zones.add(zone)
         logger.info(
-            "operator: zone={} evacuated={} row={}",
-            zone,
-            row.value is not None,
-            row.version,
+            "operator",
+            zone=zone,
+            evacuated=row.value is not None,
+            row=row.version,
         )
 
     def _configure(self, row):
@@ -119,15 +119,17 @@
         try:
             config = operator.decode(row.value)
         except exceptions.DeclarationError as exc:
-            logger.error("operator: row={} {}", row.version, exc.faults[0])
+            logger.error(
+                "operator: malformed", row=row.version, why=exc.faults[0]
+            )
             return
         if self.knowledge.configure(config):
             logger.info(
-                "operator: configuration version={} row={} routes={} keys={}",
-                config.version,
-                row.version,
-                sum(len(routes) for routes in config.routes.values()),
-                len(config.keys),
+                "operator: configuration",
+                version=config.version,
+                row=row.version,
+                routes=sum(map(len, config.routes.values())),
+                keys=len(config.keys),
             )
 
 
@@ -150,7 +152,7 @@
             except exceptions.DeclarationError as exc:
                 if row.key not in self._told:
                     self._told.add(row.key)
-                    logger.warning("endpoints: {}", exc.faults[0])
+                    logger.warning("endpoints: malformed", why=exc.faults[0])
                 continue
             found[row.key] = (endpoint, row.version)
         self._tell(found)
@@ -162,15 +164,14 @@
             had = self._known.get(name)
             if had is None or had[0].ready != endpoint.ready:
                 logger.info(
-                    "endpoints: id={} service={} address={} zone={} ready={} "
-                    "cold_s={:.1f} row={}",
-                    name,
-                    endpoint.service,
-                    endpoint.address,
-                    endpoint.zone,
-                    endpoint.ready,
-                    endpoint.cold_s,
-                    version,
+                    "endpoints",
+                    id=name,
+                    service=endpoint.service,
+                    address=endpoint.address,
+                    zone=endpoint.zone,
+                    ready=endpoint.ready,
+                    cold_s=round(endpoint.cold_s, 1),
+                    row=version,
                 )
         for name in self._known.keys() - found.keys():
-            logger.info("endpoints: id={} left", name)
+            logger.info("endpoints: left", id=name)
--- a/dogwoodwheel/entry/leader.py
+++ b/dogwoodwheel/entry/leader.py
@@ -23,28 +23,37 @@
 # Pause after an order that was refused or got no answer, seconds.
 REFUSED_PAUSE_S = 0.3
 # Pause after one that met another order, which mostly ends at once.
-BUSY_PAUSE_S = 0.06
-# Such orders in a row after which a report is read first.
-BUSY_TRIES = 5
-# Time for which an engine is kept for the model it made room for.
-RESERVED_S = 1.0
+BUSY_PAUSE_S = 0.04
+# Time for which such an order is repeated before a report is read.
+BUSY_S = 0.8
 # Time after which an adapter that was ordered is taken to be there.
 ADAPTER_S = 0.02
 # Demand is averaged over about this time, seconds.
 RATE_HALF_LIFE_S = 4.0
 # Loads from the weight store that may begin at once.
 STORE_BURST = 2.0
+# Rate that each replica of a model stands for which was there before the
+# first request, requests a second: the platform places busy models on
+# several engines.
+PLACED_RATE = 0.3
 # Part of the weight store's rate that is used.
 STORE_PART = 0.9
 
 
 class Rates:
-    """Requests a second for each model, over all entries."""
+    """Requests a second for each model, over all entries.
+
+    Attributes
+    ----------
+    is_known : bool
+        Whether any request was counted.
+    """
 
     def __init__(self):
         self._rates = collections.defaultdict(float)
         self._totals = {}
         self._at = None
+        self.is_known = False
 
     def update(self, totals, now):
         """Take counts of requests since each incarnation's start.
@@ -63,6 +72,7 @@
             else:
                 gained[key[1]] += total
             self._totals[key] = total
+            self.is_known = True
         if self._at is not None and now > self._at:
             step_s = now - self._at
             keep = 0.5 ** (step_s / RATE_HALF_LIFE_S)
@@ -73,6 +83,12 @@
                 )
         self._at = now
 
+    def seed(self, rates):
+        """Take rates for models of which no request is known yet."""
+        for name, rate in rates.items():
+            if not self._rates.get(name):
+                self._rates[name] = rate
+
     def rates(self):
         """Return the rates by model."""
         return dict(self._rates)
@@ -92,19 +108,13 @@
         Orders that it took as far as is known.
     ordered_at : float
         Time of our last order.
-    coming, leaving : str
-        Model on its way in or out; empty for none.
+    coming : str
+        Model on its way in; empty for none.
     from_store : bool
     fresh_from : float
         Time from which on a report tells what became of our orders.
     sending : bool
         Whether an order is on its way.
-    not_before : float
-        Time of the next order.
-    refused : int
-        Orders in a row that met another one.
-    reserved : tuple of (str, float)
-        Model for which room was made, and until when.
     ahead : set of str
         Models that were loaded ahead of need.
     """
@@ -115,22 +125,14 @@
     accepted: int = -1
     ordered_at: float = -1e9
     coming: str = ""
-    leaving: str = ""
     from_store: bool = False
     fresh_from: float = -1e9
     sending: bool = False
-    not_before: float = -1e9
-    refused: int = 0
-    reserved: tuple = ("", -1e9)
     ahead: set = dataclasses.field(default_factory=set)
 
     def may_take(self, now):
         """Tell whether its newest report allows another order."""
-        return (
-            not self.sending
-            and now >= self.not_before
-            and self.at >= self.fresh_from <= now
-        )
+        return not self.sending and self.at >= self.fresh_from <= now
 
 
 class Leader:
@@ -220,7 +222,7 @@
         """Ask for the reports that are due."""
         now = trio.current_time()
         for name, engine in self._engines.items():
-            moving = engine.coming or engine.leaving or engine.report is None
+            moving = engine.coming or engine.report is None
             moving = moving or engine.at < engine.fresh_from
             pause_s = BUSY_REPORT_S if moving else REPORT_S
             if name in self._asking or now - engine.at < pause_s:
@@ -234,7 +236,7 @@
             report = await self.client.report(engine.endpoint)
             self._take(name, engine, report, began)
         except exceptions.EndpointError as exc:
-            logger.debug("leader: no report of {} ({})", name, exc)
+            logger.debug("leader: no report", endpoint=name, why=str(exc))
             engine.at = trio.current_time()
             engine.fresh_from = engine.at + REFUSED_PAUSE_S
         finally:
@@ -251,7 +253,7 @@
         engine.accepted = report.accepted
         engine.report = report
         if not report.busy:
-            engine.coming = engine.leaving = ""
+            engine.coming = ""
             engine.from_store = False
         self._show(name, engine, at)
 
@@ -272,6 +274,8 @@
             if not engines:
                 continue
             views = [self._view(name, e) for name, e in engines.items()]
+            if self.lease.is_first and not self.rates.is_known:
+                self._seed(views)
             demand = planner.Demand(self.rates.rates(), self._waiting())
             self._order_adapters(
                 nursery, service.engine, engines, views, demand
@@ -280,7 +284,18 @@
                 service.engine, views, demand, int(self._store(service))
             )
             for step in steps:
-                self._give(nursery, engines[step.order.endpoint], step, demand)
+                self._give(nursery, engines[step.endpoint], step, demand)
+
+    def _seed(self, views):
+        """Take the first placement for what the demand will be."""
+        replicas = collections.Counter(m for v in views for m in v.models)
+        self.rates.seed(
+            {
+                name: count * PLACED_RATE
+                for name, count in replicas.items()
+                if count > 1
+            }
+        )
 
     def _usable(self, service):
         known = self.parts.knowledge
@@ -298,7 +313,7 @@
         now = trio.current_time()
         if self._refilled_at is None:
             # What a leader before began is not known here.
-            self._tokens = 0.0
+            self._tokens = STORE_BURST if self.lease.is_first else 0.0
             self._refilled_at = now
         rate = service.engine.loads_per_s * STORE_PART
         self._tokens = min(
@@ -322,12 +337,11 @@
             in_memory=report.in_memory,
             on_disk=report.on_disk,
             busy=report.busy
-            or bool(engine.coming or engine.leaving)
+            or bool(engine.coming)
             or not engine.may_take(now),
             coming=engine.coming,
             from_store=engine.from_store,
             in_flight=dict(flying),
-            reserved=engine.reserved[0] if now < engine.reserved[1] else "",
             ahead=frozenset(engine.ahead),
         )
 
@@ -348,60 +362,68 @@
             key = (order.endpoint, order.model, order.adapter)
             self._used[key] = trio.current_time()
             engine.sending = True
-            nursery.start_soon(self._send, engine, order, "asked for")
+            nursery.start_soon(self._send, engine, (order,), "asked for")
 
     def _give(self, nursery, engine, step, demand):
-        order = step.order
         if not engine.may_take(trio.current_time()):
             return
         engine.sending = True
-        if order.load:
-            engine.coming = order.model
-            engine.reserved = ("", -1e9)
-            if step.why == planner.AHEAD:
-                engine.ahead.add(order.model)
-            engine.from_store = step.from_store
-            if step.from_store:
-                self._tokens -= 1
-        else:
-            engine.leaving = order.model
-            engine.ahead.discard(order.model)
-            until = trio.current_time() + RESERVED_S
-            engine.reserved = (step.for_model, until)
+        if step.from_store:
+            self._tokens -= 1
+        engine.from_store = step.from_store
+        engine.coming = step.model
+        if step.why == planner.AHEAD:
+            engine.ahead.add(step.model)
         why = (
-            f"{step.why} for={step.for_model} "
-            f"rate={demand.rate(step.for_model):.2f} store={step.from_store}"
+            f"{step.why!r} for={step.model} "
+            f"rate={demand.rate(step.model):.2f} store={step.from_store}"
         )
-        nursery.start_soon(self._send, engine, order, why)
+        nursery.start_soon(self._send, engine, step.orders, why)
 
-    async def _send(self, engine, order, why):
-        """Give an order, and take in what became of it."""
-        began = trio.current_time()
-        expected = engine.accepted
-        outcome = "not sent"
+    async def _send(self, engine, orders, why):
+        """Give orders one after the other while they are taken."""
         try:
-            if self.lease.may_order:
-                outcome = await self._deliver(engine, order)
+            for order in orders:
+                if not await self._deliver(engine, order, why):
+                    break
         finally:
             engine.sending = False
-            logger.info(
-                "order: endpoint={} load={} model={} adapter={} token={} "
-                "expected={} why={} outcome={!r} took_ms={:.0f}",
-                order.endpoint,
-                order.load,
-                order.model,
-                order.adapter,
-                self.lease.token,
-                expected,
-                why,
-                outcome,
-                (trio.current_time() - began) * 1000,
-            )
             self.parts.knowledge.changed()
 
-    async def _deliver(self, engine, order):
-        """Return the outcome of an order, for the log."""
+    async def _deliver(self, engine, order, why):
+        """Give an order; return whether it was taken."""
+        began = trio.current_time()
+        expected = engine.accepted
+        outcome = "busy"
+        while outcome == "busy":
+            if not self.lease.may_order:
+                outcome = "no lease"
+                break
+            outcome = await self._try(engine, order)
+            if outcome == "busy":
+                if trio.current_time() - began > BUSY_S:
+                    self._doubt(engine)
+                    break
+                await trio.sleep(BUSY_PAUSE_S)
+        if outcome not in ("taken", "holds"):
+            engine.coming = ""
         self.parts.metrics.ordered("load" if order.load else "unload")
+        logger.info(
+            "order",
+            endpoint=order.endpoint,
+            load=order.load,
+            model=order.model,
+            adapter=order.adapter,
+            token=self.lease.token,
+            expected=expected,
+            why=why,
+            outcome=outcome,
+            took_ms=round((trio.current_time() - began) * 1000),
+        )
+        return outcome in ("taken", "holds")
+
+    async def _try(self, engine, order):
+        """Send an order once; return the outcome for the log."""
         try:
             taken = await self.client.order(
                 engine.endpoint,
@@ -410,34 +432,29 @@
                 self.parts.settings.name,
                 engine.accepted,
             )
+        except exceptions.BusyError:
+            return "busy"
         except exceptions.FencedError as exc:
             self.lease.fenced()
             return f"fenced: {exc}"
-        except exceptions.BusyError as exc:
-            engine.coming = engine.leaving = ""
-            engine.refused += 1
-            engine.not_before = trio.current_time() + BUSY_PAUSE_S
-            if engine.refused >= BUSY_TRIES:
-                engine.refused = 0
-                engine.accepted = -1
-                engine.fresh_from = trio.current_time() + REFUSED_PAUSE_S
-            return f"failed: {exc}"
         except exceptions.EndpointError as exc:
-            # A report that is read from then on tells what it did.
-            engine.fresh_from = trio.current_time() + REFUSED_PAUSE_S
-            engine.accepted = -1
+            self._doubt(engine)
             return f"failed: {exc}"
-        engine.refused = 0
         engine.ordered_at = trio.current_time()
         if taken:
             engine.accepted += 1
         if order.adapter or not order.load:
             await trio.sleep(ADAPTER_S)
-            engine.leaving = ""
             engine.report = _after(engine.report, order)
+            engine.ahead.discard(order.model)
             self._show(order.endpoint, engine, trio.current_time())
         return "taken" if taken else "holds"
 
+    def _doubt(self, engine):
+        """Let a report that is read from now on tell what orders did."""
+        engine.fresh_from = trio.current_time() + REFUSED_PAUSE_S
+        engine.accepted = -1
+
 
 def _after(report, order):
     """Return a report as it is once an order is carried out."""
--- a/dogwoodwheel/entry/lease.py
+++ b/dogwoodwheel/entry/lease.py
@@ -56,11 +56,16 @@
     ----------
     token : int
         Fencing token of the last term held.
+    leaving : bool
+        Whether this process is about to end.
+    is_first : bool
+        Whether nobody held the lease before.
     """
 
     def __init__(self, store, name, apart_s, board, clock=boottime):
         self.token = 0
         self.leaving = False
+        self.is_first = False
         self._store = store
         self._name = name
         self._apart_s = apart_s
@@ -108,7 +113,7 @@
             except exceptions.ConflictError as exc:
                 self._lose(str(exc))
             except exceptions.PlatformError as exc:
-                logger.debug("lease: {}", exc)
+                logger.debug("lease: no answer", why=str(exc))
                 if self._version is not None and not self.held:
                     self._lose(f"no renewal in time, {exc}")
                 await trio.sleep(LOOK_S)
@@ -120,9 +125,9 @@
             row = self._row(released=True)
             try:
                 await self._store.commit([self._expected()], [row])
-                logger.info("lease: released token={}", self.token)
+                logger.info("lease: released", token=self.token)
             except exceptions.PlatformError as exc:
-                logger.warning("lease: not released ({})", exc)
+                logger.warning("lease: not released", why=str(exc))
         self._version = None
 
     def fenced(self):
@@ -170,14 +175,15 @@
         expected = store_module.Row(TABLE, KEY, row.version)
         version = await self._store.commit([expected], [self._row()])
         self._version = self.token = version
+        self.is_first = not row.version
         self._until = began + VALID_S
         wait_s = 0.0 if at_once else self._apart_s + MARGIN_S
         self._orders_from = self._clock() + wait_s
         logger.info(
-            "lease: taken token={} before={} orders_in_s={:.1f}",
-            self.token,
-            _value(row).get("holder"),
-            wait_s,
+            "lease: taken",
+            token=self.token,
+            before=_value(row).get("holder"),
+            orders_in_s=round(wait_s, 1),
         )
 
     def _hear(self):
@@ -198,7 +204,7 @@
 
     def _lose(self, why):
         if self._version is not None:
-            logger.warning("lease: lost token={} why={!r}", self.token, why)
+            logger.warning("lease: lost", token=self.token, why=why)
         self._version = None
         self._until = 0.0
 
--- a/dogwoodwheel/entry/membership.py
+++ b/dogwoodwheel/entry/membership.py
@@ -147,7 +147,7 @@
                     registered = True
                 await self._look()
             except exceptions.PlatformError as exc:
-                logger.info("membership: store {}", exc)
+                logger.info("membership: no answer", why=str(exc))
             looks += 1
             alone = not self.parts.board.peers
             soon = looks < FIRST_LOOKS or alone
--- a/dogwoodwheel/entry/model.py
+++ b/dogwoodwheel/entry/model.py
@@ -113,6 +113,8 @@
         Requests in one batch.
     cache_tokens : int
         Tokens of the key-value cache.
+    disk_mb : float
+        Disk for copies of weights; the one used longest ago makes way.
     """
 
     models: dict
@@ -121,6 +123,7 @@
     loads_per_s: float
     slots: int
     cache_tokens: int
+    disk_mb: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True)
--- a/dogwoodwheel/entry/planner.py
+++ b/dogwoodwheel/entry/planner.py
@@ -32,6 +32,11 @@
 ABSENT_RATE = 0.3
 # Gain in rate per replica by which one may displace another.
 DISPLACE_FACTOR = 2.0
+# A model with a replica is loaded from the store only where each replica
+# bears so many times the rate that it is to bear.
+STORE_FACTOR = 3.0
+# What it costs to drop the only copy of a model from a disk, seconds.
+LAST_COPY_S = 3.0
 # Loads from the store that may go on while none is urgent, and at all.
 CALM_STORE_LOADS = 1
 MAX_STORE_LOADS = 4
@@ -56,8 +61,6 @@
         Whether it comes from the weight store.
     in_flight : dict of str to int
         Requests by model.
-    reserved : str
-        Model for which room was just made; empty for none.
     ahead : frozenset of str
         Models that were loaded ahead of need.
     """
@@ -70,7 +73,6 @@
     coming: str = ""
     from_store: bool = False
     in_flight: dict = dataclasses.field(default_factory=dict)
-    reserved: str = ""
     ahead: frozenset = frozenset()
 
 
@@ -96,23 +98,29 @@
 
 @dataclasses.dataclass(frozen=True)
 class Plan:
-    """A step of placement.
+    """A step of placement at one engine.
 
     Parameters
     ----------
-    order : dogwoodwheel.entry.model.Order
-    for_model : str
-        Model that is to be loaded, now or after the order.
+    endpoint : str
+    orders : tuple of dogwoodwheel.entry.model.Order
+        Unloads that make room, then the load; each waits for the one
+        before.
     why : str
     from_store : bool
-        Whether the order loads from the weight store.
+        Whether it loads from the weight store.
     """
 
-    order: model.Order
-    for_model: str
+    endpoint: str
+    orders: tuple
     why: str
     from_store: bool = False
 
+    @property
+    def model(self):
+        """Model that is loaded."""
+        return self.orders[-1].model
+
 
 def plan(spec, engines, demand, store_loads):
     """Return the next steps, at most one an engine.
@@ -198,8 +206,6 @@
         for engine in self.engines.values():
             if engine.id in self.taken or name in engine.models:
                 continue
-            if engine.reserved not in ("", name):
-                continue
             found = self.cost(engine, name, why)
             if found is not None and (best is None or found[0] < best[0]):
                 best = (*found, engine)
@@ -207,17 +213,15 @@
             return
         _, victims, from_store, engine = best
         self.taken.add(engine.id)
-        if victims:
-            self.replicas[victims[0]] -= 1
-            order = model.Order(engine.id, False, victims[0])
-            self.steps.append(Plan(order, name, why))
-            return
         if from_store:
             self.store_left -= 1
             self.store_going += 1
+        for victim in victims:
+            self.replicas[victim] -= 1
         self.replicas[name] += 1
-        order = model.Order(engine.id, True, name)
-        self.steps.append(Plan(order, name, why, from_store))
+        orders = [model.Order(engine.id, False, v) for v in victims]
+        orders.append(model.Order(engine.id, True, name))
+        self.steps.append(Plan(engine.id, tuple(orders), why, from_store))
 
     def copy_is_near(self, name):
         """Tell whether an engine with a copy is just ending an order.
@@ -239,8 +243,13 @@
         """Return cost, victims and source of a load, or None."""
         size_mb = self.spec.models[name].size_mb
         source_s, from_store = self.source(engine, name)
-        if from_store and not self.may_use_store(why):
+        if from_store and not self.may_use_store(name, why):
             return None
+        if from_store:
+            dropped_s = self.dropped_s(engine, name)
+            if why == AHEAD and dropped_s:
+                return None
+            source_s += dropped_s
         free_mb = (
             self.spec.memory_mb
             - self.reserve_mb
@@ -273,14 +282,33 @@
             return spec.disk_load_s, False
         return spec.store_load_s, True
 
-    def may_use_store(self, why):
+    def may_use_store(self, name, why):
         """Tell whether a load from the weight store may begin."""
+        if why == BUSY:
+            bears = RATE_PER_REPLICA * self.replicas[name]
+            if self.demand.rates.get(name, 0.0) < STORE_FACTOR * bears:
+                return False
         # Without demand, nothing urgent is held up.
         idle = not any(self.demand.rate(n) > IDLE_RATE for n in self.replicas)
         urgent = why == ABSENT or idle
         most = MAX_STORE_LOADS if urgent else CALM_STORE_LOADS
         return self.store_left > 0 and self.store_going < most
 
+    def dropped_s(self, engine, name):
+        """Return the cost of the copy that a full disk drops, seconds.
+
+        Notes
+        -----
+        Which one that is only the engine knows, so it is the mean.
+        """
+        specs = self.spec.models
+        held = [m for m in engine.on_disk if m in specs]
+        used_mb = sum(specs[m].size_mb for m in held)
+        if used_mb + specs[name].size_mb <= self.spec.disk_mb:
+            return 0.0
+        last = sum(self.copies[m] <= 1 for m in held)
+        return LAST_COPY_S * (last + 0.1) / max(1, len(held))
+
     def victims(self, engine, name, why):
         """Return models that may make way, cheapest first, with costs."""
         found = []
--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -160,11 +160,11 @@
     wait_s = parts.spending.charge(customer, need, now, parts.refill_part())
     if wait_s > 0:
         logger.info(
-            "quota: refused id={} customer={} units={:.0f} wait_s={:.2f}",
-            asked.id,
-            customer.name,
-            need,
-            wait_s,
+            "quota: refused",
+            id=asked.id,
+            customer=customer.name,
+            units=round(need),
+            wait_s=round(wait_s, 2),
         )
         raise refusals.refused(
             "rate_limited",
@@ -312,16 +312,17 @@
             raise
         finally:
             logger.info(
-                "attempt: id={} endpoint={} model={} outcome={} took_ms={:.0f}"
-                " left_ms={:.0f} config={} seen_age_s={:.1f}",
-                admitted.asked.id,
-                endpoint.id,
-                admitted.asked.model,
-                outcome,
-                (trio.current_time() - began) * 1000,
-                left_s * 1000,
-                self.parts.knowledge.config.version,
-                trio.current_time() - self.parts.knowledge.scanned_at,
+                "attempt",
+                id=admitted.asked.id,
+                endpoint=endpoint.id,
+                model=admitted.asked.model,
+                outcome=outcome,
+                took_ms=round((trio.current_time() - began) * 1000),
+                left_ms=round(left_s * 1000),
+                config=self.parts.knowledge.config.version,
+                seen_age_s=round(
+                    trio.current_time() - self.parts.knowledge.scanned_at, 1
+                ),
             )
         return failed
 
--- a/dogwoodwheel/platform/operator.py
+++ b/dogwoodwheel/platform/operator.py
@@ -108,6 +108,7 @@
         loads_per_s=raw.get("loadsPerS", 1.0),
         slots=raw.get("slots", 1),
         cache_tokens=raw.get("kvCacheTokens", 0),
+        disk_mb=raw.get("diskMb", math.inf),
     )
 
 
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -60,7 +60,7 @@
         Lowest level that is logged.
     """
     cfg = boot.read(settings or boot.path())
-    logs.set_up("text", log_level, "entry", cfg.name)
+    logs.set_up("json", log_level, "entry", cfg.name)
     trio.run(serve, cfg)
 
 
@@ -83,12 +83,12 @@
             entry = Entry(cfg)
             await entry.start(nursery)
             logger.info(
-                "start: name={} zone={} front={} incarnation={} first={}",
-                cfg.name,
-                cfg.zone,
-                cfg.front,
-                entry.member.incarnation,
-                cfg.first_start,
+                "start",
+                name=cfg.name,
+                zone=cfg.zone,
+                front=cfg.front,
+                incarnation=entry.member.incarnation,
+                first=cfg.first_start,
             )
             async for number in signals:
                 if number != signal.SIGHUP:
@@ -96,7 +96,7 @@
                 logger.info("reload: nothing in the settings may change")
             await entry.stop()
             nursery.cancel_scope.cancel()
-    logger.info("stop: name={}", cfg.name)
+    logger.info("stop", name=cfg.name)
 
 
 class Entry:
@@ -131,6 +131,7 @@
         )
         self._close_front = trio.Event()
         self._server = _server_config([cfg.front])
+        self._server.graceful_timeout = cfg.grace_s
 
     async def start(self, nursery):
         """Start everything; callers are met as soon as this returns."""
@@ -150,21 +151,22 @@
         """Leave the directory, finish requests, give up the lease."""
         began = trio.current_time()
         self.member.leave()
-        logger.info("stop: leaving running={}", self.front.running)
+        logger.info("stop: leaving", running=self.front.running)
         until = began + self.cfg.grace_s - KILL_MARGIN_S
         with trio.move_on_at(until):
             await self.lease.release()
             await self.parts.board.tell()
             await trio.sleep_until(began + LINGER_S)
+            self._close_front.set()
             while self.front.running:
                 await trio.sleep(POLL_S)
-        logger.info("stop: ends running={}", self.front.running)
+        logger.info("stop: ends", running=self.front.running)
 
     async def _serve_front(self, task_status):
         await hypercorn.trio.serve(
             self.front,
             self._server,
-            shutdown_trigger=trio.sleep_forever,
+            shutdown_trigger=self._close_front.wait,
             task_status=task_status,
             mode="asgi",
         )
--- a/dogwoodwheel/programs/logs.py
+++ b/dogwoodwheel/programs/logs.py
@@ -1,12 +1,20 @@
 """Logs of one process: text or JSON lines, never a key."""
 
+import atexit
+import collections
 import json
 import re
 import sys
+import threading
 
 import loguru
 
-__all__ = ["mask", "set_up"]
+__all__ = ["Writer", "mask", "set_up"]
+
+# Lines that wait to be written; more are dropped and counted.
+MAX_WAITING = 5000
+# Time to write what waits when the process ends, seconds.
+FLUSH_S = 1.0
 
 KEYS = re.compile(
     r"(?i:\b(bearer)\s+)[^\s\"',;)]+|\bdw-[A-Za-z0-9._:/@]+-[A-Za-z0-9_\-]+"
@@ -33,7 +41,7 @@
 
 
 def set_up(format, level, program, entry):
-    """Send this process's logs to standard error.
+    """Send this process's logs to standard output.
 
     Parameters
     ----------
@@ -48,8 +56,8 @@
     Notes
     -----
     The request's id is added by ``logger.contextualize(request=...)``.
-    Writing is synchronous, so the last lines before an end are there;
-    a thread of its own would lose them.
+    Keyword arguments of a call become fields of the line.  A thread
+    writes, so that a reader that stopped never blocks the process.
     """
     logger = loguru.logger
     logger.remove()
@@ -57,9 +65,10 @@
         extra={"program": program, "entry": entry, "request": "-"},
         patcher=_patch,
     )
-    write = _write_json if format == "json" else _write_text
+    writer = Writer(sys.stdout)
+    render = _json if format == "json" else _text
     logger.add(
-        write,
+        lambda message: writer.put(render(message)),
         level=level.upper(),
         format=TEXT,
         backtrace=False,
@@ -74,12 +83,19 @@
             record["extra"][name] = mask(value)
 
 
-def _write_text(message):
+def _text(message):
+    record = message.record
+    fields = "".join(
+        f" {name}={value!r}" if " " in str(value) else f" {name}={value}"
+        for name, value in record["extra"].items()
+        if name not in ("program", "entry", "request")
+    )
+    head, _, rest = str(message).partition("\n")
     # A traceback may quote a key that the message does not.
-    sys.stderr.write(mask(str(message)))
+    return mask(f"{head}{fields}\n{rest}")
 
 
-def _write_json(message):
+def _json(message):
     record = message.record
     line = {
         "time": record["time"].timestamp(),
@@ -92,4 +108,56 @@
     )
     if record["exception"] is not None:
         line["exception"] = mask(str(message).partition("\n")[2].strip())
-    sys.stderr.write(json.dumps(line) + "\n")
+    return json.dumps(line) + "\n"
+
+
+class Writer:
+    """Writes lines from a thread of its own, and drops them when late.
+
+    Parameters
+    ----------
+    stream : text file
+    """
+
+    def __init__(self, stream):
+        self._stream = stream
+        self._lines = collections.deque()
+        self._dropped = 0
+        self._ready = threading.Event()
+        self._idle = threading.Event()
+        self._idle.set()
+        threading.Thread(target=self._run, daemon=True).start()
+        atexit.register(self.flush)
+
+    def put(self, line):
+        """Take a line; never blocks."""
+        if len(self._lines) >= MAX_WAITING:
+            self._dropped += 1
+            return
+        self._lines.append(line)
+        self._idle.clear()
+        self._ready.set()
+
+    def flush(self):
+        """Wait until all is written, for `FLUSH_S` at most."""
+        self._ready.set()
+        self._idle.wait(FLUSH_S)
+
+    def _run(self):
+        while True:
+            self._ready.wait()
+            self._ready.clear()
+            while self._lines:
+                lines = [
+                    self._lines.popleft() for _ in range(len(self._lines))
+                ]
+                dropped, self._dropped = self._dropped, 0
+                if dropped:
+                    lines.append(f"logs: {dropped} lines dropped\n")
+                try:
+                    self._stream.write("".join(lines))
+                    self._stream.flush()
+                except (OSError, ValueError):
+                    # Nobody reads any more; told when somebody does.
+                    self._dropped += len(lines)
+            self._idle.set()
--- /dev/null
+++ b/features/entry_placement.feature
@@ -0,0 +1,60 @@
+Feature: Which models are loaded, replayed without sockets
+
+  Scenario: A request waits for a model that lies on a disk
+    Given engines "a" with "m0 m1 m5" and "b" with "m2 m3 m5"
+    And engine "b" has "m4" on its disk
+    When 1 request waits for "m4"
+    Then the plan makes room on "b" for "m4"
+
+  Scenario: A model that requests use does not make way
+    Given engines "a" with "m0 m1 m5" and "b" with "m2 m3 m5"
+    And engine "b" has "m4" on its disk
+    And requests are in flight for "m2" at "b"
+    When 1 request waits for "m4"
+    Then the plan unloads a model other than "m2" at "b"
+
+  Scenario: The demand moves to another model
+    Given engines "a" with "m0 m1" and "b" with "m2 m3"
+    And all engines have all models on their disks
+    When "m0" is asked for 2 times a second
+    Then within 4 rounds "m0" is held by 2 engines
+
+  Scenario: Models that the platform placed are not displaced ahead of need
+    Given engines "a" with "m0 m1 m2" and "b" with "m0 m1 m3"
+    When nothing is asked for
+    Then nothing is unloaded
+
+  Scenario: A copy is loaded ahead of need where there is room
+    Given engines "a" with "m0 m1" and "b" with "m2 m3"
+    When nothing is asked for
+    Then "m4" and "m5" are loaded from the store
+
+  Scenario: Rare models are asked for at once
+    Given engines "a" with "m0 m1 m2" and "b" with "m0 m1 m3"
+    And all engines have all models on their disks
+    When 1 request waits for each of "m4 m5"
+    Then within 6 rounds each of "m4 m5" was held
+
+  Scenario: The ceiling of the weight store
+    Given engines "a" with "" and "b" with ""
+    When 1 request waits for each of "m0 m1 m2 m3 m4 m5"
+    And no load may begin
+    Then the plan loads nothing
+
+  Scenario: A copy at an engine that is just ending an order
+    Given engines "a" with "m0 m1 m5" and "b" with "m2 m3 m5"
+    And engine "b" has "m4" on its disk
+    And engine "b" is busy
+    When 1 request waits for "m4"
+    Then the plan loads nothing
+
+  Scenario: An adapter is ordered once, where there is room
+    Given engines "a" with "m0 m1" and "b" with "m0 m3"
+    When 1 request waits for "m0/a1"
+    Then one adapter order is given
+    When engine "a" holds the adapter "a1"
+    Then no adapter order is given
+
+  Scenario: Rates follow the demand over restarts of entries
+    When two entries count requests and one of them starts anew
+    Then the rate is that of both
--- /dev/null
+++ b/features/steps/entry_placement_steps.py
@@ -0,0 +1,217 @@
+"""Steps that replay demand for models against the planner."""
+
+import dataclasses
+
+from behave import given
+from behave import then
+from behave import when
+
+from dogwoodwheel.entry import leader
+from dogwoodwheel.entry import model
+from dogwoodwheel.entry import planner
+from features import entry_builders
+
+
+@given('engines "{a}" with "{held_a}" and "{b}" with "{held_b}"')
+@given('engines "{a}" with "" and "{b}" with ""')
+def step_engines(context, a, b, held_a="", held_b=""):
+    context.spec = entry_builders.engine_spec()
+    context.views = {
+        name: entry_builders.engine_view(name, held.split())
+        for name, held in ((a, held_a), (b, held_b))
+    }
+    context.rates = {}
+    context.waiting = {}
+    context.store_loads = 2
+    context.was_held = set()
+
+
+def change(context, name, **fields):
+    context.views[name] = dataclasses.replace(context.views[name], **fields)
+
+
+@given('engine "{name}" has "{models}" on its disk')
+def step_disk(context, name, models):
+    change(context, name, on_disk=frozenset(models.split()))
+
+
+@given("all engines have all models on their disks")
+def step_disks(context):
+    for name in context.views:
+        change(context, name, on_disk=frozenset(context.spec.models))
+
+
+@given('requests are in flight for "{held}" at "{name}"')
+def step_flying(context, held, name):
+    change(context, name, in_flight={held: 2})
+
+
+@given('engine "{name}" is busy')
+def step_busy(context, name):
+    change(context, name, busy=True)
+
+
+@when('{count:d} request waits for "{name}"')
+def step_wait(context, count, name):
+    context.waiting[name] = count
+
+
+@when('{count:d} request waits for each of "{names}"')
+def step_wait_each(context, count, names):
+    for name in names.split():
+        context.waiting[name] = count
+
+
+@when('"{name}" is asked for {rate:d} times a second')
+def step_rate(context, name, rate):
+    context.rates[name] = float(rate)
+
+
+@when("nothing is asked for")
+def step_nothing(context):
+    context.rates = {}
+
+
+@when("no load may begin")
+def step_ceiling(context):
+    context.store_loads = 0
+
+
+def plan(context):
+    demand = planner.Demand(context.rates, context.waiting)
+    return planner.plan(
+        context.spec,
+        list(context.views.values()),
+        demand,
+        context.store_loads,
+    )
+
+
+def carry_out(context, step):
+    """Carry out the orders of a step as an engine does."""
+    view = context.views[step.endpoint]
+    held = dict(view.models)
+    for order in step.orders:
+        if order.load:
+            held[order.model] = model.Loaded(order.model)
+            size_mb = sum(context.spec.models[m].size_mb for m in held)
+            assert size_mb <= context.spec.memory_mb, held
+        else:
+            del held[order.model]
+    change(
+        context,
+        step.endpoint,
+        models=held,
+        on_disk=view.on_disk | {step.model},
+    )
+
+
+def play(context, rounds):
+    """Carry out the plans of some rounds."""
+    steps = []
+    for _ in range(rounds):
+        for step in plan(context):
+            carry_out(context, step)
+            steps.append(step)
+        for view in context.views.values():
+            context.was_held |= set(view.models)
+        for name in context.was_held:
+            context.waiting.pop(name, None)
+    return steps
+
+
+@then('the plan makes room on "{name}" for "{wanted}"')
+def step_room(context, name, wanted):
+    steps = plan(context)
+    assert [step.endpoint for step in steps] == [name], steps
+    assert [order.load for order in steps[0].orders] == [False, True]
+    play(context, 1)
+    assert wanted in context.views[name].models
+
+
+@then('the plan unloads a model other than "{kept}" at "{name}"')
+def step_unload(context, kept, name):
+    steps = plan(context)
+    assert [step.endpoint for step in steps] == [name], steps
+    unloaded = [o.model for o in steps[0].orders if not o.load]
+    assert unloaded and kept not in unloaded, steps
+
+
+@then('within {rounds:d} rounds "{name}" is held by {count:d} engines')
+def step_held_by(context, rounds, name, count):
+    play(context, rounds)
+    held = sum(name in view.models for view in context.views.values())
+    assert held >= count, context.views
+
+
+@then("nothing is unloaded")
+def step_no_unload(context):
+    steps = play(context, 6)
+    assert all(len(step.orders) == 1 for step in steps), steps
+
+
+@then('"{one}" and "{two}" are loaded from the store')
+def step_copies(context, one, two):
+    play(context, 6)
+    assert {one, two} <= context.was_held, context.was_held
+
+
+@then('within {rounds:d} rounds each of "{names}" was held')
+def step_each_held(context, rounds, names):
+    play(context, rounds)
+    assert set(names.split()) <= context.was_held, context.was_held
+
+
+@then("the plan loads nothing")
+def step_no_load(context):
+    assert not plan(context)
+
+
+def adapter_orders(context):
+    reports = {
+        name: model.Report(view.models, view.busy, 0)
+        for name, view in context.views.items()
+    }
+    demand = planner.Demand({}, context.waiting)
+    return planner.plan_adapters(
+        context.spec, list(context.views.values()), demand, reports, {}
+    )
+
+
+@then("one adapter order is given")
+def step_one_adapter(context):
+    orders = adapter_orders(context)
+    assert len(orders) == 1 and orders[0].adapter == "a1", orders
+
+
+@when('engine "{name}" holds the adapter "{adapter}"')
+def step_adapter(context, name, adapter):
+    held = dict(context.views[name].models)
+    held["m0"] = model.Loaded("m0", frozenset([adapter]))
+    change(context, name, models=held)
+
+
+@then("no adapter order is given")
+def step_no_adapter(context):
+    assert not adapter_orders(context)
+
+
+@when("two entries count requests and one of them starts anew")
+def step_rates(context):
+    context.followed = leader.Rates()
+    first, second = 0, 100
+    for n in range(200):
+        now = n * 0.25
+        first += 1
+        second += 1
+        if n == 100:
+            second = 0
+        key = ("two-b" if n >= 100 else "two-a", "m0")
+        totals = {("one", "m0"): first, key: second}
+        context.followed.update(totals, now)
+
+
+@then("the rate is that of both")
+def step_both(context):
+    rate = context.followed.rates()["m0"]
+    assert 7.5 < rate < 8.5, rate
