--- a/dogwoodwheel/entry/leader.py
+++ b/dogwoodwheel/entry/leader.py
@@ -22,6 +22,8 @@
 RESTARTED_S = 2.0
 # Pause after an order that was refused or got no answer, seconds.
 REFUSED_PAUSE_S = 0.3
+# Times that an order is sent while it gets no answer.
+TRIES = 4
 # Pause after one that met another order, which mostly ends at once.
 BUSY_PAUSE_S = 0.04
 # Time for which such an order is repeated before a report is read.
@@ -307,10 +309,7 @@
             for s in known.usable(service.name)
             if s.endpoint.id in self._engines
             and self._engines[s.endpoint.id].report is not None
-            and not (
-                self.parts.suspicion.avoided(s.endpoint.id, now)
-                and self.parts.suspicion.unreached(s.endpoint.id)
-            )
+            and not self.parts.suspicion.is_down(s.endpoint.id, now)
         }
 
     def _store(self, service):
@@ -400,14 +399,20 @@
         began = trio.current_time()
         expected = engine.accepted
         outcome = "busy"
-        while outcome == "busy":
+        lost = 0
+        while outcome in ("busy", "no answer"):
             if not self.lease.may_order:
                 outcome = "no lease"
                 break
             outcome = await self._try(engine, order)
-            if outcome == "busy":
+            if outcome == "no answer":
+                lost += 1
+                if lost >= TRIES:
+                    self._doubt(engine)
+                    break
+            elif outcome == "busy":
                 waited_s = trio.current_time() - began
-                if order.adapter or waited_s > BUSY_S:
+                if order.adapter or lost or waited_s > BUSY_S:
                     self._doubt(engine)
                     break
                 await trio.sleep(BUSY_PAUSE_S)
@@ -443,6 +448,8 @@
         except exceptions.FencedError as exc:
             self.lease.fenced()
             return f"fenced: {exc}"
+        except exceptions.ReplyError:
+            return "no answer"
         except exceptions.EndpointError as exc:
             self._doubt(engine)
             return f"failed: {exc}"
--- a/dogwoodwheel/entry/model.py
+++ b/dogwoodwheel/entry/model.py
@@ -20,6 +20,13 @@
 ]
 
 
+# Callers leave a stream after the longest of these: seconds, and multiples
+# of the aim and of the longest pause, as the platform's pages tell.
+MIN_PATIENCE_S = 2.0
+AIMS_OF_PATIENCE = 4.0
+GAPS_OF_PATIENCE = 8.0
+
+
 class Kind:
     """What may be repeated of the requests of a route."""
 
@@ -69,6 +76,18 @@
     resumable: bool = False
     gap_s: float = math.inf
 
+    @property
+    def patience_s(self):
+        """Seconds after which callers leave a stream without an event."""
+        if self.kind != Kind.STREAM:
+            return math.inf
+        gap_s = self.gap_s if self.gap_s < math.inf else 0.0
+        return max(
+            MIN_PATIENCE_S,
+            AIMS_OF_PATIENCE * self.aim_s,
+            GAPS_OF_PATIENCE * gap_s,
+        )
+
     @property
     def repeatable(self):
         """Whether a request may run more than once."""
--- a/dogwoodwheel/entry/placing.py
+++ b/dogwoodwheel/entry/placing.py
@@ -10,6 +10,7 @@
 import dataclasses
 import math
 
+from loguru import logger
 import trio
 
 from dogwoodwheel.entry import choice
@@ -22,8 +23,17 @@
 SERVICE_S = 0.15
 # Time of an order around the load itself.
 ORDER_S = 0.3
+# A request that has waited so much longer than it has time left gives up
+# hope, whatever is expected.
+OVERDUE_S = 0.5
+# A load that takes longer than the one begins within the other, if at all.
+LONG_LOAD_S = 2.0
+BEGUN_S = 0.6
 # Time to load an adapter.
 ADAPTER_S = 0.05
+# Retry-After where a model waits for others to be loaded, seconds: about
+# half a load from the weight store.
+UNPLACED_RETRY_S = 3.0
 # Retry-After where nothing tells when there will be room.
 UNKNOWN_RETRY_S = 0.5
 POLL_S = 0.25
@@ -38,7 +48,7 @@
     service : dogwoodwheel.entry.model.Service
     asked : dogwoodwheel.platform.ingress.Asked
     until : float
-        Time of trio's clock at which it must be answered.
+        Time of trio's clock at which the answer must have begun.
     """
 
     service: object
@@ -72,10 +82,23 @@
     found = find(parts, need, avoid)
     if found is not None:
         return _admitted(parts, need, found)
+    logger.info(
+        "wait",
+        id=need.asked.id,
+        service=need.service.name,
+        model=need.name,
+        expected_s=round(min(_expected_s(parts, need), 999), 2),
+        left_s=round(need.until - trio.current_time(), 2),
+        scan_age_s=round(trio.current_time() - parts.knowledge.scanned_at, 1),
+    )
     with parts.flights.wait_for(need.name or need.service.name):
         parts.board.hurry()
+        began = trio.current_time()
         while True:
-            wait_s = _expected_s(parts, need)
+            waited_s = trio.current_time() - began
+            wait_s = max(
+                _expected_s(parts, need, waited_s), waited_s - OVERDUE_S
+            )
             left_s = need.until - trio.current_time() - SERVICE_S
             if wait_s > left_s:
                 raise _refused(parts, need, wait_s)
@@ -181,6 +204,8 @@
         return True
     if parts.is_missing(endpoint, need.name):
         return False
+    if parts.suspicion.is_down(endpoint, trio.current_time()):
+        return False
     held = parts.knowledge.models(endpoint).get(asked.model)
     if held is None:
         return False
@@ -198,8 +223,14 @@
     ) and parts.allowance.allows(name, now)
 
 
-def _expected_s(parts, need):
-    """Return the time until an endpoint can take a request, seconds."""
+def _expected_s(parts, need, waited_s=0.0):
+    """Return the time until an endpoint can take a request, seconds.
+
+    Notes
+    -----
+    A load from the weight store that was not begun at once is not going
+    to begin soon: others go before it.
+    """
     usable = parts.knowledge.usable(need.service.name)
     if not usable:
         return math.inf
@@ -215,11 +246,14 @@
     coming = parts.knowledge.coming_since(need.asked.model)
     if coming is not None:
         return max(0.0, seconds - (trio.current_time() - coming))
-    return seconds + ORDER_S
+    begun_late = waited_s > BEGUN_S and seconds > LONG_LOAD_S
+    return math.inf if begun_late else seconds + ORDER_S
 
 
 def _refused(parts, need, wait_s):
-    if wait_s < math.inf:
+    if need.asked.model:
+        if wait_s == math.inf:
+            wait_s = UNPLACED_RETRY_S
         return refusals.refused(
             "no_replica",
             f"{need.name} is at no endpoint and takes {wait_s:.1f} s to "
--- a/dogwoodwheel/entry/planner.py
+++ b/dogwoodwheel/entry/planner.py
@@ -37,9 +37,12 @@
 STORE_EXCESS = 0.6
 # What it costs to drop the only copy of a model from a disk, seconds.
 LAST_COPY_S = 3.0
-# Loads from the store that may go on while none is urgent, and at all.
+# Loads from the store that may go on while none is urgent, and at all; and
+# the part of the engines that may be taken up by them, since an engine
+# carries out one order at a time and cannot swap meanwhile.
 CALM_STORE_LOADS = 1
 MAX_STORE_LOADS = 4
+STORE_PART = 0.34
 # What one request in flight adds to the cost of a place, seconds.
 IN_FLIGHT_COST_S = 0.05
 
@@ -293,7 +296,11 @@
         # Without demand, nothing urgent is held up.
         idle = not any(self.demand.rate(n) > IDLE_RATE for n in self.replicas)
         urgent = why != AHEAD or idle
-        most = MAX_STORE_LOADS if urgent else CALM_STORE_LOADS
+        most = CALM_STORE_LOADS
+        if urgent:
+            part = round(len(self.engines) * STORE_PART)
+            most = MAX_STORE_LOADS if idle else min(MAX_STORE_LOADS, part)
+            most = max(1, most)
         return self.store_left > 0 and self.store_going < most
 
     def dropped_s(self, engine, name):
--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -217,7 +217,12 @@
         self.version = b""
         self.begun = None
         self.need = placing.Need(
-            admitted.service, admitted.asked, admitted.until
+            admitted.service,
+            admitted.asked,
+            min(
+                admitted.until,
+                admitted.incoming.at + admitted.route.patience_s,
+            ),
         )
         route = admitted.route
         if route.kind == model.Kind.STREAM:
@@ -321,8 +326,13 @@
             logger.info(
                 "attempt",
                 id=admitted.asked.id,
+                route=admitted.route.name,
                 endpoint=endpoint.id,
-                model=admitted.asked.model,
+                model=self.need.name,
+                tokens=tokens,
+                load=load.requests,
+                load_tokens=load.tokens,
+                since_ms=round((began - admitted.incoming.at) * 1000),
                 outcome=outcome,
                 took_ms=round((trio.current_time() - began) * 1000),
                 left_ms=round(left_s * 1000),
--- a/dogwoodwheel/entry/suspicion.py
+++ b/dogwoodwheel/entry/suspicion.py
@@ -96,10 +96,12 @@
         record.unreached = True
         return self._pause(record, now)
 
-    def unreached(self, endpoint):
-        """Tell whether nothing could be sent there when last tried."""
+    def is_down(self, endpoint, now):
+        """Tell whether nothing could be sent there a moment ago."""
         record = self._records.get(endpoint)
-        return record is not None and record.unreached
+        if record is None or not record.unreached:
+            return False
+        return now < record.paused_until
 
     def hear(self, outcomes, now, same_zone):
         """Take outcomes that a peer saw since its beat before.
--- a/dogwoodwheel/platform/engines.py
+++ b/dogwoodwheel/platform/engines.py
@@ -9,10 +9,10 @@
 
 __all__ = ["Engines"]
 
-# A report takes 3 ms and an order 10 ms as a rule.
+# A report takes 3 ms and an order 10 ms as a rule.  An order that gets no
+# answer is given again, which its count of orders makes safe.
 REPORT_TIMEOUT_S = 0.5
-ORDER_TIMEOUT_S = 0.4
-CONNECT_TIMEOUT_S = 0.4
+ORDER_TIMEOUT_S = 0.15
 OK = 200
 ACCEPTED = 202
 CONFLICT = 409
