--- a/dogwoodwheel/entry/flights.py
+++ b/dogwoodwheel/entry/flights.py
@@ -28,6 +28,14 @@
     def flying(self, endpoint, tokens, model):
         """Count a request at an endpoint while the context lasts.
 
+        Parameters
+        ----------
+        endpoint : str
+        tokens : int
+            Tokens of its prompt.
+        model : str
+            ``MODEL`` or ``MODEL/ADAPTER``.
+
         Yields
         ------
         callable
--- a/dogwoodwheel/entry/following.py
+++ b/dogwoodwheel/entry/following.py
@@ -14,7 +14,9 @@
 FEED_S = 4.0
 # Pause between two scans of the endpoints; a leaving one gets nothing
 # more within the platform's `drain_s`, two seconds or more.
-SCAN_S = 0.8
+SCAN_S = 0.7
+# Time for one scan; a lost answer must not use up what is left of it.
+SCAN_TIMEOUT_S = 0.6
 # Pauses after a failed call, seconds.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
@@ -31,7 +33,7 @@
     reader = _Reader()
 
     async def step():
-        rows = await store.scan(registrations.TABLE)
+        rows = await store.scan(registrations.TABLE, timeout_s=SCAN_TIMEOUT_S)
         knowledge.scan(reader.read(rows.rows))
         knowledge.heard_at = trio.current_time()
         await trio.sleep(SCAN_S)
--- a/dogwoodwheel/entry/leader.py
+++ b/dogwoodwheel/entry/leader.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 
 from loguru import logger
 import trio
@@ -20,6 +21,9 @@
 # Time for which a report that shows fewer orders than were taken is
 # thought to lag; after it the engine is thought to have started anew.
 RESTARTED_S = 2.0
+# Time for which reports may say that nothing goes on and lack the model
+# that was loaded, before the load counts as failed, seconds.
+LOAD_LAG_S = 0.8
 # Pause after an order that was refused or got no answer, seconds.
 REFUSED_PAUSE_S = 0.3
 # Times that an order is sent while it gets no answer.
@@ -119,6 +123,9 @@
         Time from which on a report tells what became of our orders.
     sending : bool
         Whether an order is on its way.
+    idle_at : float
+        Time of the first report after the last load that said that
+        nothing goes on.
     ahead : set of str
         Models that were loaded ahead of need.
     """
@@ -132,6 +139,7 @@
     from_store: bool = False
     fresh_from: float = -1e9
     sending: bool = False
+    idle_at: float = math.inf
     ahead: set = dataclasses.field(default_factory=set)
 
     def may_take(self, now):
@@ -256,11 +264,25 @@
             return
         engine.accepted = report.accepted
         engine.report = report
-        if not report.busy:
+        if not report.busy and self._is_over(engine, report, at):
             engine.coming = ""
             engine.from_store = False
         self._show(name, engine, at)
 
+    def _is_over(self, engine, report, at):
+        """Tell whether the load of an engine's coming model has ended.
+
+        Notes
+        -----
+        Parts of a report lag differently: one that says that nothing
+        goes on may lack the model that has just come.  Its memory is
+        taken all the same.
+        """
+        if not engine.coming or engine.coming in report.models:
+            return True
+        engine.idle_at = min(engine.idle_at, at)
+        return at - engine.idle_at > LOAD_LAG_S
+
     def _show(self, name, engine, at):
         """Tell requests here and at the peers what an engine holds."""
         models = engine.report.models
@@ -374,6 +396,7 @@
         engine.sending = True
         if step.from_store:
             self._tokens -= 1
+        engine.idle_at = math.inf
         engine.from_store = step.from_store
         engine.coming = step.model
         if step.why == planner.AHEAD:
@@ -456,6 +479,10 @@
         engine.ordered_at = trio.current_time()
         if taken:
             engine.accepted += 1
+        if order.adapter and not order.load and taken:
+            # It is in use, and goes when that ends.
+            self._doubt(engine)
+            return "waits"
         if order.adapter or not order.load:
             await trio.sleep(ADAPTER_S if order.adapter else UNLOAD_S)
             engine.report = _after(engine.report, order)
--- a/dogwoodwheel/entry/planner.py
+++ b/dogwoodwheel/entry/planner.py
@@ -63,7 +63,7 @@
     from_store : bool
         Whether it comes from the weight store.
     in_flight : dict of str to int
-        Requests by model.
+        Requests by ``MODEL`` or ``MODEL/ADAPTER``.
     ahead : frozenset of str
         Models that were loaded ahead of need.
     """
@@ -78,6 +78,10 @@
     in_flight: dict = dataclasses.field(default_factory=dict)
     ahead: frozenset = frozenset()
 
+    def uses(self, name):
+        """Tell whether requests for a model or its adapters are there."""
+        return any(n.partition("/")[0] == name for n in self.in_flight)
+
 
 @dataclasses.dataclass(frozen=True)
 class Demand:
@@ -322,7 +326,7 @@
         """Return models that may make way, cheapest first, with costs."""
         found = []
         for held in engine.models:
-            if held not in self.spec.models or engine.in_flight.get(held):
+            if held not in self.spec.models or engine.uses(held):
                 continue
             if self.demand.waiting.get(held):
                 continue
@@ -393,9 +397,9 @@
     ]
     if len(held) + len(report.coming) < spec.adapter_slots:
         return model.Order(engine.id, True, base, adapter)
-    idle = [item for item in held if not engine.in_flight.get(item[1])]
-    if not idle:
-        idle = held
+    idle = [
+        item for item in held if f"{item[1]}/{item[2]}" not in engine.in_flight
+    ]
     if not idle:
         return None
     _, victim_model, victim = min(idle)
--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -315,7 +315,7 @@
         try:
             load = self.parts.load(endpoint.id)
             with self.parts.flights.flying(
-                endpoint.id, tokens, admitted.asked.model
+                endpoint.id, tokens, self.need.name
             ) as begun:
                 self.begun = begun
                 outcome, failed = await self._exchange(endpoint, req, load)
--- a/dogwoodwheel/platform/store.py
+++ b/dogwoodwheel/platform/store.py
@@ -80,7 +80,7 @@
         self.calls = 0
         self._exchanges = exchanges
 
-    async def scan(self, table, first="", last=""):
+    async def scan(self, table, first="", last="", timeout_s=TIMEOUT_S):
         """Return all rows of a table, or of a range of its keys.
 
         Parameters
@@ -88,6 +88,8 @@
         table : str
         first, last : str
             The range has the first one, not the last one.
+        timeout_s : float
+            Time for each page, seconds.
 
         Returns
         -------
@@ -106,7 +108,7 @@
                 query["from"] = first
             if last:
                 query["to"] = last
-            body = await self._get("rows-get", query)
+            body = await self._get("rows-get", query, timeout_s)
             rows.extend(_row(row) for row in body["rows"])
             version = body["ver"] if version is None else version
             if not body.get("hasMore"):
