Prove entries as real processes against the published protocol

Two faults found and mended, each failing first: a request that may run once was repeated where its route said resumable (the word holds for streams only); the lease was never taken while the store lost its answers, since a take-over could not be told from another's.

--- a/dogwoodwheel/entry/lease.py
+++ b/dogwoodwheel/entry/lease.py
@@ -11,6 +11,7 @@
 
 import functools
 import time
+import uuid
 
 from loguru import logger
 import msgpack
@@ -75,6 +76,7 @@
         self._until = 0.0
         self._orders_from = 0.0
         self._seen = (-1, 0.0)
+        self._term = ""
 
     @property
     def held(self):
@@ -136,22 +138,36 @@
 
     async def _renew(self):
         began = self._clock()
-        try:
-            self._version = await self._store.commit(
-                [self._expected()], [self._row()]
-            )
-        except exceptions.OutcomeUnknownError:
-            # Our own write may have taken effect; the row tells.
-            row = await self._store.read(TABLE, KEY)
-            if not self._is_ours(row):
-                raise exceptions.ConflictError(
-                    "another entry holds the lease"
-                ) from None
-            self._version = row.version
+        row = await self._commit(self._expected())
+        if row.version == self._version:
+            # The write was not taken; the next one follows at once.
             return
+        self._version = row.version
         self._until = began + VALID_S
         await trio.sleep(RENEW_S)
 
+    async def _commit(self, expected):
+        """Write the lease; return its row as it is then.
+
+        Raises
+        ------
+        ConflictError
+            If the row is another entry's, or of another term.
+        PlatformError
+            If nothing was taken, or the outcome cannot be learnt.
+        """
+        try:
+            version = await self._store.commit([expected], [self._row()])
+            return store_module.Row(TABLE, KEY, version)
+        except (exceptions.ConflictError, exceptions.OutcomeUnknownError):
+            # It may have been taken, or an earlier one late; the row tells.
+            row = await self._store.read(TABLE, KEY)
+            if self._is_ours(row) or row.version == expected.version:
+                return row
+            raise exceptions.ConflictError(
+                "another entry holds the lease"
+            ) from None
+
     async def _look(self):
         self._hear()
         if self._heard_leader():
@@ -172,9 +188,11 @@
 
     async def _take(self, row, at_once):
         began = self._clock()
-        expected = store_module.Row(TABLE, KEY, row.version)
-        version = await self._store.commit([expected], [self._row()])
-        self._version = self.token = version
+        self._term = uuid.uuid4().hex
+        taken = await self._commit(row)
+        if taken.version == row.version:
+            return
+        self._version = self.token = taken.version
         self.is_first = not row.version
         self._until = began + VALID_S
         wait_s = 0.0 if at_once else self._apart_s + MARGIN_S
@@ -212,7 +230,7 @@
         value = _value(row)
         return (
             value.get("holder") == self._name
-            and value.get("token") == self.token
+            and value.get("term") == self._term
         )
 
     def _expected(self):
@@ -221,7 +239,7 @@
     def _row(self, released=False):
         value = {
             "holder": self._name,
-            "token": self.token,
+            "term": self._term,
             "released": released,
         }
         return store_module.Row(TABLE, KEY, 0, msgpack.packb(value))
--- a/dogwoodwheel/entry/model.py
+++ b/dogwoodwheel/entry/model.py
@@ -91,7 +91,9 @@
     @property
     def repeatable(self):
         """Whether a request may run more than once."""
-        return self.kind == Kind.SAFE or self.resumable
+        if self.kind == Kind.STREAM:
+            return self.resumable
+        return self.kind == Kind.SAFE
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/features/entry_fleet.py
@@ -0,0 +1,232 @@
+"""Entries, their store and endpoints as real processes, for tests."""
+
+import atexit
+import http.client
+import itertools
+import json
+import pathlib
+import shutil
+import sys
+import tempfile
+import uuid
+
+from features import entry_builders
+from features import fleet
+from features.standins import control
+from features.standins import machines
+from features.standins import process
+
+__all__ = ["Answer", "EntryFleet"]
+
+READY_S = 30.0
+TIMEOUT_S = 10.0
+KEY = "key-husk"
+
+
+class Answer:
+    """A reply as a caller sees it.
+
+    Parameters
+    ----------
+    status : int
+        0 where none came.
+    headers : dict
+        Names in lower case.
+    body : bytes
+    whole : bool
+        Whether the reply ended as its framing says.
+    """
+
+    def __init__(self, status, headers, body, whole):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.whole = whole
+
+    def __repr__(self):
+        return f"Answer({self.status}, {self.body!r}, whole={self.whole})"
+
+
+class EntryFleet:
+    """A store, workers and entries, all ended by `stop`."""
+
+    def __init__(self):
+        self.dir = pathlib.Path(tempfile.mkdtemp(prefix="entries-"))
+        self.hosts = itertools.count(1)
+        self.procs = []
+        self.workers = {}
+        self.entries = {}
+        self.registered = {}
+        atexit.register(self.stop)
+        self.store_address, self.store = self._stand_in("rowstore", "store")
+
+    def add_worker(self, name, service, models="", load_s=0.2, **fields):
+        """Start a worker and register it."""
+        args = ["--name", name, "--models", models, "--load-s", load_s]
+        address, ctl = self._stand_in("worker", name, args)
+        self.workers[name] = ctl
+        held = [
+            {"name": model, "version": 1, "adapters": []}
+            for model in models.split(",")
+            if model
+        ]
+        self.registered[name] = {
+            "service": service,
+            "address": address,
+            "models": held,
+            **fields,
+        }
+        self.register(name)
+
+    def register(self, name, **fields):
+        """Write a worker's registration."""
+        self.registered[name].update(fields)
+        body = entry_builders.registration_body(**self.registered[name])
+        self.store.call("put", table="servers", key=name, value=body.decode())
+
+    def unregister(self, name):
+        """Take a worker's registration away."""
+        self.store.call("delete", table="servers", key=name)
+
+    def configure(self, version=1, **fields):
+        """Write a configuration as the operator does."""
+        body = entry_builders.config_body(version, **fields)
+        self.store.call("put", table="op", key="config", value=body.decode())
+
+    def start_entry(self, name, zone="zone-a"):
+        """Start an entry and wait until it is ready."""
+        host = fleet._host(next(self.hosts))
+        ports = machines.free_address(host).rpartition(":")[2]
+        fields = {
+            "node": name,
+            "ip": host,
+            "zone": zone,
+            "region": "region",
+            "listen.front": machines.free_address(host),
+            "listen.readiness": machines.free_address(host),
+            "listen.directory": machines.free_address(host),
+            "portRange": f"{ports},{int(ports) + 10}",
+            "platform.address": self.store_address,
+            "bootstrap": "true",
+            "bounds.graceS": "5",
+        }
+        path = self.dir / f"{name}.conf"
+        text = "".join(f"{key}={value}\n" for key, value in fields.items())
+        path.write_text(text)
+        argv = [
+            sys.executable,
+            "-m",
+            "dogwoodwheel.programs.entry",
+            "--settings",
+            path,
+        ]
+        proc = self._process(name, argv)
+        self.entries[name] = (proc, fields)
+        proc.start()
+        process.wait_for(
+            lambda: self.ready(name), READY_S, f"{name} to be ready"
+        )
+
+    def proc(self, name):
+        """Return an entry's process."""
+        return self.entries[name][0]
+
+    def ready(self, name):
+        """Tell whether an entry says that it is ready."""
+        address = self.entries[name][1]["listen.readiness"]
+        return ask(address, "GET", "/api/ready").status == 200
+
+    def directory(self, name):
+        """Return the addresses that an entry's directory names."""
+        address = self.entries[name][1]["listen.directory"]
+        answer = ask(address, "GET", "/api/resolve?name=a&region=b&zone=c")
+        return json.loads(answer.body)["addresses"]
+
+    def front(self, name):
+        """Return the address at which an entry meets callers."""
+        return self.entries[name][1]["listen.front"]
+
+    def ask(self, name, path, method="GET", body=None, key=KEY, **headers):
+        """Send a request to an entry; return its `Answer`.
+
+        Notes
+        -----
+        Names of headers are written with underscores.
+        """
+        fields = {
+            "Host": entry_builders.HOST,
+            "X-Request-Id": uuid.uuid4().hex[:16],
+            "X-Request-Deadline": "4000",
+        }
+        if key:
+            fields["Authorization"] = f"Token {key}"
+        for header, value in headers.items():
+            fields[header.replace("_", "-")] = str(value)
+        return ask(self.front(name), method, path, body, fields)
+
+    def stream(self, name, path="/chat/a", model="m0", **headers):
+        """Send a request for a model to an entry."""
+        fields = {"X_Token_Count": "100,10", "X_Prompt_Prefix": "ab:100"}
+        return self.ask(
+            name, path, "POST", b"prompt", X_Model=model, **fields, **headers
+        )
+
+    def history(self, worker, kind="request"):
+        """Return what happened at a worker."""
+        return self.workers[worker].call("history", kind=kind)["events"]
+
+    def log(self, name, message):
+        """Return the log lines of an entry with a message."""
+        lines = self.proc(name).log.read_text().splitlines()
+        found = [json.loads(li) for li in lines if li.startswith("{")]
+        return [line for line in found if line["message"] == message]
+
+    def tails(self):
+        """Return the ends of all logs, for a failed test."""
+        parts = [f"---- {p.name}\n{p.tail()}" for p in self.procs]
+        return "\n".join(parts)
+
+    def stop(self):
+        """End and reap every process; remove their logs."""
+        for proc in reversed(self.procs):
+            proc.kill()
+        shutil.rmtree(self.dir, ignore_errors=True)
+        atexit.unregister(self.stop)
+
+    def _process(self, name, argv):
+        log = self.dir / f"{name}.log"
+        proc = process.Process(name, argv, log, fleet.ROOT)
+        self.procs.append(proc)
+        return proc
+
+    def _stand_in(self, kind, name, args=()):
+        host = fleet._host(next(self.hosts))
+        address = machines.free_address(host)
+        listen = machines.free_address(host)
+        argv = [sys.executable, "-m", f"features.standins.{kind}"]
+        argv += ["--address", address, "--control", listen, *args]
+        proc = self._process(name, argv)
+        proc.start()
+        ctl = control.Control(listen)
+        probe = "counters" if kind == "rowstore" else "history"
+        process.wait_for(lambda: ctl.call(probe), READY_S, f"{name} to answer")
+        return address, ctl
+
+
+def ask(address, method, path, body=None, headers=None):
+    """Send one request on a new connection; return its `Answer`."""
+    host, _, port = address.rpartition(":")
+    conn = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT_S)
+    try:
+        conn.request(method, path, body, headers or {})
+        reply = conn.getresponse()
+        fields = {k.lower(): v for k, v in reply.getheaders()}
+        try:
+            return Answer(reply.status, fields, reply.read(), True)
+        except (http.client.IncompleteRead, OSError) as exc:
+            part = getattr(exc, "partial", b"")
+            return Answer(reply.status, fields, part, False)
+    except (http.client.HTTPException, OSError):
+        return Answer(0, {}, b"", False)
+    finally:
+        conn.close()
--- /dev/null
+++ b/features/standins/worker.py
@@ -0,0 +1,294 @@
+"""Stand-in of an endpoint of the operators' platform.
+
+Notes
+-----
+Answers requests with a signature, streams events, takes orders and
+reports on itself, as the platform publishes it.  Faults are put into a
+queue, one for each next request.
+"""
+
+import argparse
+import functools
+import json
+import time
+
+import trio
+
+from features.standins import control
+from features.standins import history
+from features.standins import server
+
+__all__ = ["Worker", "main"]
+
+OK = 200
+ACCEPTED = 202
+ERROR = 500
+UNAVAILABLE = 503
+CONFLICT = 409
+FENCED = 412
+MISDIRECTED = 421
+FAULTS = (
+    "reset",
+    "lose",
+    "hang",
+    "full",
+    "error",
+    "short",
+    "other_id",
+    "unsigned",
+    "encoded",
+    "surplus",
+    "unframed",
+    "break",
+    "skip",
+)
+EVENTS = 6
+LATE_ORDER_S = 1.0
+
+
+class Worker:
+    """An engine, or a plain service where it has no memory.
+
+    Parameters
+    ----------
+    name : str
+        Name of this incarnation.
+    models : sequence of str
+        Models that it holds at first.
+    load_s, pace_s : float
+        Time of a load, and between two events, seconds.
+    """
+
+    def __init__(self, name, models, load_s, pace_s):
+        self.name = name
+        self.models = {model: set() for model in models}
+        self.load_s = load_s
+        self.pace_s = pace_s
+        self.history = history.History()
+        self.faults = []
+        self.lost_orders = 0
+        self.busy = False
+        self.accepted = 0
+        self.token = 0
+        self.delay_s = 0.0
+        self.nursery = None
+        self.connections = set()
+
+    def commands(self):
+        """Return the commands of the control port."""
+        return {
+            "history": self.history.dump,
+            "faults": self.put,
+            "set": self.set,
+        }
+
+    def put(self, kinds):
+        """Add faults for the next requests."""
+        for kind in kinds:
+            if kind not in FAULTS:
+                raise ValueError(f"kind must be one of {FAULTS}")
+        self.faults.extend(kinds)
+
+    def set(self, delay_s=None, lost_orders=None, pace_s=None):
+        """Set the time of a request, or orders that get no answer."""
+        if delay_s is not None:
+            self.delay_s = delay_s
+        if pace_s is not None:
+            self.pace_s = pace_s
+        if lost_orders is not None:
+            self.lost_orders = lost_orders
+
+    async def handle(self, exchange):
+        """Serve one request."""
+        self.connections.add(id(exchange.conn))
+        expected = exchange.headers.get("x-expect-instance", self.name)
+        if expected != self.name:
+            headers = [("x-instance-id", self.name)]
+            await exchange.reply(MISDIRECTED, {}, headers)
+        elif exchange.path == "/api/report":
+            await exchange.reply(OK, self._report())
+        elif exchange.path == "/api/order":
+            await self._order(exchange)
+        else:
+            await self._request(exchange)
+
+    def _report(self):
+        return {
+            "stage": "colocated",
+            "models": self._held(),
+            "busy": self.busy,
+            "sequence": self.accepted,
+            "queued": 0,
+            "active": 0,
+            "kvUsed": 0,
+            "kvCapacity": 100000,
+            "coming": [],
+            "atHand": {"inMemory": [], "onDisk": []},
+        }
+
+    def _held(self):
+        return [
+            {"name": name, "version": 1, "adapters": sorted(adapters)}
+            for name, adapters in self.models.items()
+        ]
+
+    async def _order(self, exchange):
+        body = exchange.json()
+        self.history.add("order", at=time.time(), **body)
+        if self.lost_orders:
+            self.lost_orders -= 1
+            self.nursery.start_soon(self._late_order, body)
+            await trio.sleep_forever()
+        await exchange.reply(self._take(body), {})
+
+    async def _late_order(self, body):
+        await trio.sleep(LATE_ORDER_S)
+        self.history.add("late_order", status=self._take(body), **body)
+
+    def _take(self, body):
+        if body["fencingToken"] < self.token:
+            return FENCED
+        self.token = body["fencingToken"]
+        if self.busy or body.get("expected", self.accepted) != self.accepted:
+            return CONFLICT
+        self.accepted += 1
+        if body.get("adapter"):
+            self.models[body["model"]].add(body["adapter"])
+        elif body["operation"] == "unload":
+            self.models.pop(body["model"], None)
+        else:
+            self.busy = True
+            self.nursery.start_soon(self._load, body["model"])
+        return ACCEPTED
+
+    async def _load(self, model):
+        await trio.sleep(self.load_s)
+        self.models[model] = set()
+        self.busy = False
+
+    async def _request(self, exchange):
+        headers = exchange.headers
+        request_id = headers.get("x-request-id", "")
+        fault = self.faults.pop(0) if self.faults else ""
+        event = self.history.add(
+            "request",
+            id=request_id,
+            method=exchange.method,
+            path=exchange.path,
+            headers=headers,
+            body=exchange.body.decode(errors="replace"),
+            fault=fault,
+            at=time.time(),
+            ran=False,
+            ended=None,
+        )
+        reply = [("x-request-id", request_id)]
+        if fault == "hang":
+            await trio.sleep_forever()
+        if fault == "reset":
+            exchange.cut()
+            return
+        model, _, adapter = headers.get("x-model", "").partition("/")
+        if fault == "full":
+            not_run = [*reply, ("x-not-executed", "1")]
+            await exchange.reply(UNAVAILABLE, {}, not_run)
+            return
+        if model and not self._holds(model, adapter):
+            await exchange.reply(MISDIRECTED, {}, reply)
+            return
+        event["ran"] = True
+        if self.delay_s:
+            await trio.sleep(self.delay_s)
+        reply.append(("x-server-seal", f"seal.{self.name}"))
+        if fault == "error":
+            await exchange.reply(ERROR, {"error": self.name}, reply)
+        elif model:
+            await self._stream(exchange, reply, fault)
+        else:
+            await self._plain(exchange, reply, fault)
+        event["ended"] = time.time()
+
+    def _holds(self, model, adapter):
+        held = self.models.get(model)
+        return held is not None and (not adapter or adapter in held)
+
+    async def _plain(self, exchange, headers, fault):
+        body = json.dumps({"by": self.name}).encode()
+        if fault == "lose":
+            exchange.cut()
+        elif fault == "short":
+            size = str(len(body) + 10).encode()
+            await exchange.raw(
+                b"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Request-Id: "
+                + exchange.headers["x-request-id"].encode()
+                + b"\r\nContent-Length: "
+                + size
+                + b"\r\n\r\n"
+                + body
+            )
+            exchange.cut()
+        elif fault == "unframed":
+            await exchange.raw(
+                b"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Request-Id: "
+                + exchange.headers["x-request-id"].encode()
+                + b"\r\n\r\n"
+                + body
+            )
+            exchange.cut()
+        elif fault == "other_id":
+            await exchange.reply(OK, body, [("x-request-id", "other")])
+        elif fault == "unsigned":
+            await exchange.reply(OK, body, headers[:1])
+        elif fault == "encoded":
+            coded = [*headers, ("content-encoding", "gzip")]
+            await exchange.reply(OK, body, coded)
+        else:
+            await exchange.reply(OK, body, headers)
+            if fault == "surplus":
+                await exchange.raw(
+                    b"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n"
+                    b"X-Request-Id: surplus\r\nContent-Length: 7\r\n\r\n"
+                    b"surplus"
+                )
+
+    async def _stream(self, exchange, headers, fault):
+        first = int(exchange.headers.get("last-event-id", 0)) + 1
+        await exchange.start(
+            OK,
+            [
+                *headers,
+                ("content-type", "text/event-stream"),
+                ("transfer-encoding", "chunked"),
+            ],
+        )
+        for number in range(first, EVENTS + 1):
+            if fault == "skip" and number == 3:
+                continue
+            if fault == "break" and number == 4:
+                await exchange.data(b"id: 4\nda")
+                exchange.cut()
+                return
+            await exchange.data(b"id: %d\ndata: %d\n\n" % (number, number))
+            await trio.sleep(self.pace_s)
+        await exchange.end()
+
+
+async def main(args):
+    """Serve until the process ends."""
+    models = args.models.split(",") if args.models else []
+    worker = Worker(args.name, models, args.load_s, args.pace_s)
+    serve = functools.partial(server.Server(worker.handle).serve, args.address)
+    async with trio.open_nursery() as nursery:
+        worker.nursery = nursery
+        await control.run(args.control, worker.commands(), serve)
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--address", required=True)
+    parser.add_argument("--control", required=True)
+    parser.add_argument("--models", default="")
+    parser.add_argument("--load-s", type=float, default=0.2)
+    parser.add_argument("--pace-s", type=float, default=0.01)
+    control.program(main, parser.parse_args())
