Hand the lease on at once, and place fewer replicas

Ruled out: the store's load. A holder that the store turns away says so, and the next one orders at once unless it takes the lease back.

--- a/dogwoodwheel/entry/lease.py
+++ b/dogwoodwheel/entry/lease.py
@@ -5,8 +5,10 @@
 The row's version at the take-over is the fencing token.  The holder
 counts on the lease for `VALID_S` after it sent the last renewal that
 succeeded; another entry takes it only once it has known the row's
-version for as long, and gives no order for the platform's lease time
-after that, so orders of two holders never alternate.
+version for as long.  A holder that the store turns away while it answers
+others tells them that it gives up.  An entry that takes the lease back
+from the one that took it over orders nothing for the platform's lease
+time, so orders of two holders never alternate.
 """
 
 import functools
@@ -26,8 +28,14 @@
 TABLE = "dogwoodwheel"
 KEY = "leader"
 # Pause between two renewals, and how long one counts, seconds.
-RENEW_S = 0.9
-VALID_S = 2.4
+RENEW_S = 0.6
+VALID_S = 1.8
+# Time for one call; a third of what the lease counts is left for others.
+CALL_S = 0.5
+# Peers that the store answered so recently show that it is there.
+FRESH_S = 1.0
+# Pause after a call that failed.
+RETRY_S = 0.1
 # Pause between two looks by an entry that does not hold it.
 LOOK_S = 0.3
 # An entry of the next rank waits so much longer before it looks.
@@ -77,6 +85,8 @@
         self._orders_from = 0.0
         self._seen = (-1, 0.0)
         self._term = ""
+        self._before = ""
+        self._given_up = 0
 
     @property
     def held(self):
@@ -93,8 +103,15 @@
         )
 
     def claim(self):
-        """Return token and version for this entry's beat, or None."""
-        return (self.token, self._version) if self.held else None
+        """Return token and version for this entry's beat, or None.
+
+        Notes
+        -----
+        The token 0 tells that the lease of that version was given up.
+        """
+        if self.held:
+            return (self.token, self._version)
+        return (0, self._given_up) if self._given_up else None
 
     async def run(self, ready):
         """Hold the lease, or take it when nobody does, for ever.
@@ -116,9 +133,12 @@
                 self._lose(str(exc))
             except exceptions.PlatformError as exc:
                 logger.debug("lease: no answer", why=str(exc))
-                if self._version is not None and not self.held:
-                    self._lose(f"no renewal in time, {exc}")
-                await trio.sleep(LOOK_S)
+                if self._version is not None:
+                    if not self.held:
+                        self._lose(f"no renewal in time, {exc}")
+                    elif self._others_are_answered():
+                        self._lose(f"the store answers others, {exc}")
+                await trio.sleep(RETRY_S)
 
     async def release(self):
         """Give the lease up before the process ends."""
@@ -157,11 +177,13 @@
             If nothing was taken, or the outcome cannot be learnt.
         """
         try:
-            version = await self._store.commit([expected], [self._row()])
+            version = await self._store.commit(
+                [expected], [self._row()], timeout_s=CALL_S
+            )
             return store_module.Row(TABLE, KEY, version)
         except (exceptions.ConflictError, exceptions.OutcomeUnknownError):
             # It may have been taken, or an earlier one late; the row tells.
-            row = await self._store.read(TABLE, KEY)
+            row = await self._store.read(TABLE, KEY, CALL_S)
             if self._is_ours(row) or row.version == expected.version:
                 return row
             raise exceptions.ConflictError(
@@ -182,36 +204,55 @@
             self._seen = (row.version, now)
         value = _value(row)
         own = value.get("holder") == self._name
-        free = not row.version or own or value.get("released")
+        free = (
+            not row.version
+            or own
+            or value.get("released")
+            or self._is_given_up(row, value)
+        )
         if free or now - self._seen[1] >= VALID_S:
-            await self._take(row, at_once=not row.version or own)
+            await self._take(row, back=value.get("before") == self._name)
 
-    async def _take(self, row, at_once):
+    async def _take(self, row, back):
         began = self._clock()
         self._term = uuid.uuid4().hex
+        self._before = _value(row).get("holder", "")
         taken = await self._commit(row)
         if taken.version == row.version:
             return
         self._version = self.token = taken.version
         self.is_first = not row.version
         self._until = began + VALID_S
-        wait_s = 0.0 if at_once else self._apart_s + MARGIN_S
+        self._given_up = 0
+        wait_s = self._apart_s + MARGIN_S if back else 0.0
         self._orders_from = self._clock() + wait_s
         logger.info(
             "lease: taken",
             token=self.token,
-            before=_value(row).get("holder"),
+            before=self._before,
             orders_in_s=round(wait_s, 1),
         )
 
     def _hear(self):
         for peer in self._board.live().values():
             claim = peer.beat.lease
-            if claim and claim[1] > self._seen[0]:
+            if claim and claim[0] and claim[1] > self._seen[0]:
                 self._seen = (claim[1], self._clock())
 
     def _heard_leader(self):
-        return any(p.beat.lease for p in self._board.live().values())
+        claims = [p.beat.lease for p in self._board.live().values()]
+        return any(claim and claim[0] for claim in claims)
+
+    def _others_are_answered(self):
+        return any(
+            peer.beat.store_age_s < FRESH_S
+            for peer in self._board.live().values()
+        )
+
+    def _is_given_up(self, row, value):
+        """Tell whether the holder said that it gave up this very row."""
+        peer = self._board.live().get(value.get("holder"))
+        return peer is not None and peer.beat.lease == (0, row.version)
 
     def _rank(self):
         names = sorted(
@@ -222,6 +263,8 @@
 
     def _lose(self, why):
         if self._version is not None:
+            self._given_up = self._version
+            self._board.hurry()
             logger.warning("lease: lost", token=self.token, why=why)
         self._version = None
         self._until = 0.0
@@ -240,6 +283,7 @@
         value = {
             "holder": self._name,
             "term": self._term,
+            "before": self._before,
             "released": released,
         }
         return store_module.Row(TABLE, KEY, 0, msgpack.packb(value))
--- a/dogwoodwheel/entry/planner.py
+++ b/dogwoodwheel/entry/planner.py
@@ -23,9 +23,9 @@
 BUSY = "busy"
 AHEAD = "no copy"
 # Requests a second that one replica is to bear.
-RATE_PER_REPLICA = 0.7
+RATE_PER_REPLICA = 1.5
 # Above this rate a model has a second replica in case one is lost.
-SPARE_RATE = 0.25
+SPARE_RATE = 0.5
 # Below this rate, requests a second, a model's replica may make way.
 IDLE_RATE = 0.04
 # Above this rate an absent model is loaded though no request waits.
@@ -37,6 +37,12 @@
 STORE_EXCESS = 0.6
 # What it costs to drop the only copy of a model from a disk, seconds.
 LAST_COPY_S = 3.0
+# Chance of that up to which a copy is loaded ahead of need.
+LAST_COPY_CHANCE = 0.2
+# What a load from the store costs the requests for the models that an
+# engine holds, whose adapters cannot be loaded meanwhile; seconds for each
+# request a second.
+BLOCKED_S = 1.5
 # Loads from the store that may go on while none is urgent, and at all; and
 # the part of the engines that may be taken up by them, since an engine
 # carries out one order at a time and cannot swap meanwhile.
@@ -257,10 +263,13 @@
         if from_store and not self.may_use_store(name, why):
             return None
         if from_store:
-            dropped_s = self.dropped_s(engine, name)
-            if why == AHEAD and dropped_s:
+            chance = self.drop_chance(engine, name)
+            if why == AHEAD and chance > LAST_COPY_CHANCE:
                 return None
-            source_s += dropped_s
+            source_s += LAST_COPY_S * chance
+            source_s += BLOCKED_S * sum(
+                self.demand.rates.get(m, 0.0) for m in engine.models
+            )
         free_mb = (
             self.spec.memory_mb
             - self.reserve_mb
@@ -307,12 +316,12 @@
             most = max(1, most)
         return self.store_left > 0 and self.store_going < most
 
-    def dropped_s(self, engine, name):
-        """Return the cost of the copy that a full disk drops, seconds.
+    def drop_chance(self, engine, name):
+        """Return the chance that a full disk drops a last copy.
 
         Notes
         -----
-        Which one that is only the engine knows, so it is the mean.
+        Only the engine knows which copy was used longest ago.
         """
         specs = self.spec.models
         held = [m for m in engine.on_disk if m in specs]
@@ -320,7 +329,7 @@
         if used_mb + specs[name].size_mb <= self.spec.disk_mb:
             return 0.0
         last = sum(self.copies[m] <= 1 for m in held)
-        return LAST_COPY_S * (last + 0.1) / max(1, len(held))
+        return last / max(1, len(held))
 
     def victims(self, engine, name, why):
         """Return models that may make way, cheapest first, with costs."""
--- a/dogwoodwheel/platform/store.py
+++ b/dogwoodwheel/platform/store.py
@@ -115,9 +115,9 @@
                 return Rows(tuple(rows), version)
             first = rows[-1].key + "\0"
 
-    async def read(self, table, key):
+    async def read(self, table, key, timeout_s=TIMEOUT_S):
         """Return one row; an absent one has version 0."""
-        found = await self.scan(table, key, key + "\0")
+        found = await self.scan(table, key, key + "\0", timeout_s)
         for row in found.rows:
             if row.key == key:
                 return row
@@ -141,7 +141,7 @@
         rows = tuple(_row(row) for row in body["rows"])
         return Changes(rows, body["ver"])
 
-    async def commit(self, expected, writes, removes=()):
+    async def commit(self, expected, writes, removes=(), timeout_s=TIMEOUT_S):
         """Write rows if others have the expected versions.
 
         Parameters
@@ -151,6 +151,7 @@
         writes : sequence of Row
             Their versions are ignored.
         removes : sequence of Row
+        timeout_s : float
 
         Returns
         -------
@@ -176,7 +177,7 @@
             "remove": [_name(r) for r in removes],
         }
         reply = await self._call(
-            "POST", b"/api/rows-tx", json.dumps(body).encode(), TIMEOUT_S
+            "POST", b"/api/rows-tx", json.dumps(body).encode(), timeout_s
         )
         return reply["ver"]
 
--- a/dogwoodwheel/wire/messages.py
+++ b/dogwoodwheel/wire/messages.py
@@ -302,7 +302,8 @@
     waiting : dict of str to int
         Requests that wait for ``MODEL`` or ``MODEL/ADAPTER``.
     lease : tuple of (int, int) or None
-        Fencing token and version of the lease that it holds.
+        Fencing token and version of the lease that it holds; the token
+        is 0 where it gave that version up.
     holdings : dict
         What each engine holds, if the sender leads: endpoint to
         (age in seconds, models with adapters, model on its way).
