--- a/dogwoodwheel/entry/knowledge.py
+++ b/dogwoodwheel/entry/knowledge.py
@@ -148,7 +148,7 @@
         before = self.holdings.get(endpoint)
         if before is None or before[0] < at:
             self.holdings[endpoint] = (at, models, coming)
-            self._note_coming()
+            self._note_coming(endpoint, coming)
             if before is None or before[1:] != (models, coming):
                 self.changed()
 
@@ -162,12 +162,19 @@
 
     def coming_since(self, model_name):
         """Return since when a model is being loaded, or None."""
-        return self._coming.get(model_name)
-
-    def _note_coming(self):
-        coming = {held[2] for held in self.holdings.values() if held[2]}
-        now = trio.current_time()
-        self._coming = {name: self._coming.get(name, now) for name in coming}
+        times = [
+            since
+            for name, (model, since) in self._coming.items()
+            if model == model_name and name in self.sightings
+        ]
+        return min(times, default=None)
+
+    def _note_coming(self, endpoint, coming):
+        had = self._coming.get(endpoint)
+        if not coming:
+            self._coming.pop(endpoint, None)
+        elif had is None or had[0] != coming:
+            self._coming[endpoint] = (coming, trio.current_time())
 
     def usable(self, service):
         """Return the sightings that may receive requests of a service."""
--- a/dogwoodwheel/entry/leader.py
+++ b/dogwoodwheel/entry/leader.py
@@ -38,6 +38,7 @@
 UNLOAD_S = 0.06
 # Demand is averaged over about this time, seconds.
 RATE_HALF_LIFE_S = 4.0
+SLOW_HALF_LIFE_S = 25.0
 # Loads from the weight store that may begin at once.
 STORE_BURST = 2.0
 # Rate that each replica of a model stands for which was there before the
@@ -59,6 +60,7 @@
 
     def __init__(self):
         self._rates = collections.defaultdict(float)
+        self._slow = collections.defaultdict(float)
         self._totals = {}
         self._at = None
         self.is_known = False
@@ -84,13 +86,17 @@
         if self._at is not None and now > self._at:
             step_s = now - self._at
             keep = 0.5 ** (step_s / RATE_HALF_LIFE_S)
+            keep_slow = 0.5 ** (step_s / SLOW_HALF_LIFE_S)
             for name in set(self._rates) | set(gained):
                 rate = gained[name] / step_s
-                self._rates[name] = self._rates[name] * keep + rate * (
-                    1 - keep
-                )
+                self._rates[name] += (rate - self._rates[name]) * (1 - keep)
+                self._slow[name] += (rate - self._slow[name]) * (1 - keep_slow)
         self._at = now
 
+    def slow(self):
+        """Return rates by model, averaged over a longer time."""
+        return dict(self._slow)
+
     def seed(self, rates):
         """Take rates for models of which no request is known yet."""
         for name, rate in rates.items():
@@ -302,7 +308,12 @@
             views = [self._view(name, e) for name, e in engines.items()]
             if self.lease.is_first and not self.rates.is_known:
                 self._seed(views)
-            demand = planner.Demand(self.rates.rates(), self._waiting())
+            demand = planner.Demand(
+                self.rates.rates(),
+                self._waiting(),
+                self.rates.is_known,
+                self.rates.slow(),
+            )
             self._order_adapters(
                 nursery, service.engine, engines, views, demand
             )
--- a/dogwoodwheel/entry/placing.py
+++ b/dogwoodwheel/entry/placing.py
@@ -29,6 +29,8 @@
 # A load that takes longer than the one begins within the other, if at all.
 LONG_LOAD_S = 2.0
 BEGUN_S = 0.6
+# A load that has taken so many times what it should counts as lost.
+LOST_FACTOR = 1.5
 # Time to load an adapter.
 ADAPTER_S = 0.05
 # Retry-After where a model waits for others to be loaded, seconds: about
@@ -244,8 +246,10 @@
         return ADAPTER_S if need.asked.adapter else 0.0
     seconds = load_s(parts.knowledge, need.service, need.asked.model)
     coming = parts.knowledge.coming_since(need.asked.model)
-    if coming is not None:
-        return max(0.0, seconds - (trio.current_time() - coming))
+    elapsed_s = 0.0 if coming is None else trio.current_time() - coming
+    # A load that takes far longer than it should was lost.
+    if coming is not None and elapsed_s < LOST_FACTOR * seconds + ORDER_S:
+        return max(0.0, seconds - elapsed_s)
     begun_late = waited_s > BEGUN_S and seconds > LONG_LOAD_S
     return math.inf if begun_late else seconds + ORDER_S
 
--- a/dogwoodwheel/entry/planner.py
+++ b/dogwoodwheel/entry/planner.py
@@ -21,6 +21,7 @@
 # Why a model is loaded.
 ABSENT = "absent"
 BUSY = "busy"
+SPREAD = "few copies"
 AHEAD = "no copy"
 # Requests a second that one replica is to bear.
 RATE_PER_REPLICA = 1.5
@@ -32,6 +33,9 @@
 ABSENT_RATE = 0.3
 # Gain in rate per replica by which one may displace another.
 DISPLACE_FACTOR = 2.0
+# Engines that are to have a copy of a model which has a second replica, so
+# that the loss of both does not leave it to the weight store.
+SPREAD_COPIES = 3
 # A model with a replica is loaded from the store only where the rate is so
 # much above what its replicas are to bear, requests a second.
 STORE_EXCESS = 0.6
@@ -48,7 +52,7 @@
 # carries out one order at a time and cannot swap meanwhile.
 CALM_STORE_LOADS = 1
 MAX_STORE_LOADS = 4
-STORE_PART = 0.34
+STORE_PART = 0.4
 # What one request in flight adds to the cost of a place, seconds.
 IN_FLIGHT_COST_S = 0.05
 
@@ -99,10 +103,17 @@
         Requests a second, over all entries.
     waiting : dict of str to int
         Requests that wait for a model, or ``MODEL/ADAPTER``.
+    begun : bool
+        Whether any request was seen; before it nothing is urgent.
+    slow : dict of str to float
+        Requests a second over a longer time, by which models that are
+        rarely asked for differ.
     """
 
     rates: dict
     waiting: dict
+    begun: bool = True
+    slow: dict = dataclasses.field(default_factory=dict)
 
     def rate(self, name):
         """Return the rate of a model, with those that wait for it."""
@@ -198,6 +209,11 @@
                 found.append((self.excess(name), name, BUSY))
         for _, name, why in sorted(found, reverse=True):
             yield name, why
+        rates = self.demand.rates
+        for name in sorted(rates, key=rates.get, reverse=True):
+            few = self.copies.get(name, 0) < SPREAD_COPIES
+            if rates[name] > SPARE_RATE and few and name in self.copies:
+                yield name, SPREAD
         for name in sorted(self.spec.models):
             if not self.copies[name]:
                 yield name, AHEAD
@@ -223,6 +239,8 @@
         for engine in self.engines.values():
             if engine.id in self.taken or name in engine.models:
                 continue
+            if why == SPREAD and name in engine.on_disk:
+                continue
             found = self.cost(engine, name, why)
             if found is not None and (best is None or found[0] < best[0]):
                 best = (*found, engine)
@@ -306,14 +324,12 @@
         """Tell whether a load from the weight store may begin."""
         if why == BUSY and self.excess(name) < STORE_EXCESS:
             return False
-        # Without demand, nothing urgent is held up.
-        idle = not any(self.demand.rate(n) > IDLE_RATE for n in self.replicas)
-        urgent = why != AHEAD or idle
         most = CALM_STORE_LOADS
-        if urgent:
+        if not self.demand.begun:
+            most = MAX_STORE_LOADS
+        elif why in (ABSENT, BUSY):
             part = round(len(self.engines) * STORE_PART)
-            most = MAX_STORE_LOADS if idle else min(MAX_STORE_LOADS, part)
-            most = max(1, most)
+            most = max(1, min(MAX_STORE_LOADS, part))
         return self.store_left > 0 and self.store_going < most
 
     def drop_chance(self, engine, name):
@@ -345,14 +361,15 @@
             rate = self.demand.rate(held)
             gain = self.demand.rate(name) / (self.replicas[name] + 1)
             if rate > IDLE_RATE:
-                if why == AHEAD:
+                if why in (AHEAD, SPREAD):
                     continue
                 if self.wanted(held) > left and why == BUSY:
                     if rate / max(left, 0.5) * DISPLACE_FACTOR > gain:
                         continue
                 if not left and rate > gain:
                     continue
-            loss = rate / (left + 0.2)
+            often = max(rate, self.demand.slow.get(held, 0.0))
+            loss = often / (left + 0.2)
             # The last copy costs a load from the store to get back.
             loss += 0.3 if not left else 0.0
             found.append((loss, held))
