--- a/dogwoodwheel/entry/planner.py
+++ b/dogwoodwheel/entry/planner.py
@@ -21,7 +21,6 @@
 # Why a model is loaded.
 ABSENT = "absent"
 BUSY = "busy"
-SPREAD = "few copies"
 AHEAD = "no copy"
 # Requests a second that one replica is to bear.
 RATE_PER_REPLICA = 1.5
@@ -33,9 +32,6 @@
 ABSENT_RATE = 0.3
 # Gain in rate per replica by which one may displace another.
 DISPLACE_FACTOR = 2.0
-# Engines that are to have a copy of a model which has a second replica, so
-# that the loss of both does not leave it to the weight store.
-SPREAD_COPIES = 3
 # A model with a replica is loaded from the store only where the rate is so
 # much above what its replicas are to bear, requests a second.
 STORE_EXCESS = 0.6
@@ -52,7 +48,7 @@
 # carries out one order at a time and cannot swap meanwhile.
 CALM_STORE_LOADS = 1
 MAX_STORE_LOADS = 4
-STORE_PART = 0.4
+STORE_PART = 0.34
 # What one request in flight adds to the cost of a place, seconds.
 IN_FLIGHT_COST_S = 0.05
 
@@ -209,11 +205,6 @@
                 found.append((self.excess(name), name, BUSY))
         for _, name, why in sorted(found, reverse=True):
             yield name, why
-        rates = self.demand.rates
-        for name in sorted(rates, key=rates.get, reverse=True):
-            few = self.copies.get(name, 0) < SPREAD_COPIES
-            if rates[name] > SPARE_RATE and few and name in self.copies:
-                yield name, SPREAD
         for name in sorted(self.spec.models):
             if not self.copies[name]:
                 yield name, AHEAD
@@ -239,8 +230,6 @@
         for engine in self.engines.values():
             if engine.id in self.taken or name in engine.models:
                 continue
-            if why == SPREAD and name in engine.on_disk:
-                continue
             found = self.cost(engine, name, why)
             if found is not None and (best is None or found[0] < best[0]):
                 best = (*found, engine)
@@ -361,7 +350,7 @@
             rate = self.demand.rate(held)
             gain = self.demand.rate(name) / (self.replicas[name] + 1)
             if rate > IDLE_RATE:
-                if why in (AHEAD, SPREAD):
+                if why == AHEAD:
                     continue
                 if self.wanted(held) > left and why == BUSY:
                     if rate / max(left, 0.5) * DISPLACE_FACTOR > gain:
