--- a/benchmarks/counted.py
+++ b/benchmarks/counted.py
@@ -17,7 +17,7 @@
 import sys
 import time
 
-from dogwoodwheel.platform import http
+from dogwoodwheel.stores import http
 from dogwoodwheel.wire import codec
 
 __all__ = ["Counts", "main"]
--- a/benchmarks/slopes_functions.py
+++ b/benchmarks/slopes_functions.py
@@ -8,8 +8,8 @@
 from dogwoodwheel.membership import rows
 from dogwoodwheel.membership import view
 from dogwoodwheel.placement import records
-from dogwoodwheel.platform import table
-from dogwoodwheel.platform import vms
+from dogwoodwheel.stores import table
+from dogwoodwheel.stores import vms
 
 __all__ = ["run"]
 
--- a/dogwoodwheel/endpoints/book.py
+++ b/dogwoodwheel/endpoints/book.py
@@ -22,7 +22,7 @@
     Parameters
     ----------
     owner : dogwoodwheel.endpoints.owner.Owner
-    table : dogwoodwheel.platform.table.Table
+    table : dogwoodwheel.stores.table.Table
 
     Notes
     -----
--- a/dogwoodwheel/endpoints/orders.py
+++ b/dogwoodwheel/endpoints/orders.py
@@ -26,7 +26,7 @@
     Parameters
     ----------
     owner : dogwoodwheel.endpoints.owner.Owner
-    table : dogwoodwheel.platform.table.Table
+    table : dogwoodwheel.stores.table.Table
     loads : dogwoodwheel.placement.loads.Loads
 
     Notes
--- a/dogwoodwheel/endpoints/owner.py
+++ b/dogwoodwheel/endpoints/owner.py
@@ -23,7 +23,7 @@
     Parameters
     ----------
     fleet : dogwoodwheel.membership.fleet.Fleet
-    table : dogwoodwheel.platform.table.Table
+    table : dogwoodwheel.stores.table.Table
     loads : dogwoodwheel.placement.loads.Loads
     endpoint : dogwoodwheel.declaration.model.Endpoint
     holding : dogwoodwheel.membership.view.Holding
--- a/dogwoodwheel/engines/engine.py
+++ b/dogwoodwheel/engines/engine.py
@@ -14,7 +14,7 @@
 import httpcore
 
 from dogwoodwheel import exceptions
-from dogwoodwheel.platform import http
+from dogwoodwheel.stores import http
 
 __all__ = ["Engine", "HttpEngine", "Loaded", "Order", "Status"]
 
--- /dev/null
+++ b/dogwoodwheel/entry/adapters.py
@@ -0,0 +1,69 @@
+"""Which adapters engines should load next.
+
+Notes
+-----
+Load pattern: a busy model with more adapters than its engines have
+places for; requests for an adapter wait until it is there.
+"""
+
+import math
+
+from dogwoodwheel.entry import model
+
+__all__ = ["plan"]
+
+
+def plan(spec, engines, demand, reports, used):
+    """Return orders for adapters that requests wait for.
+
+    Parameters
+    ----------
+    spec : dogwoodwheel.entry.model.EngineSpec
+    engines : sequence of EngineView
+    demand : Demand
+    reports : dict of str to dogwoodwheel.entry.model.Report
+    used : dict of (str, str, str) to float
+        When an adapter of a model at an engine was asked for last.
+
+    Returns
+    -------
+    list of dogwoodwheel.entry.model.Order
+    """
+    orders = []
+    for name in demand.waiting:
+        base, _, adapter = name.partition("/")
+        if not adapter:
+            continue
+        holders = [e for e in engines if base in e.models]
+        holders = [e for e in holders if not e.busy] or holders
+        if any(
+            adapter in e.models[base].adapters or name in reports[e.id].coming
+            for e in holders
+        ):
+            continue
+        holders.sort(key=lambda e: sum(e.in_flight.values()))
+        for engine in holders:
+            order = _order(
+                spec, engine, reports[engine.id], base, adapter, used
+            )
+            if order is not None:
+                orders.append(order)
+                break
+    return orders
+
+
+def _order(spec, engine, report, base, adapter, used):
+    held = [
+        (used.get((engine.id, m, a), -math.inf), m, a)
+        for m, loaded in engine.models.items()
+        for a in loaded.adapters
+    ]
+    if len(held) + len(report.coming) < spec.adapter_slots:
+        return model.Order(engine.id, True, base, adapter)
+    idle = [
+        item for item in held if f"{item[1]}/{item[2]}" not in engine.in_flight
+    ]
+    if not idle:
+        return None
+    _, victim_model, victim = min(idle)
+    return model.Order(engine.id, False, victim_model, victim)
--- a/dogwoodwheel/entry/app.py
+++ b/dogwoodwheel/entry/app.py
@@ -6,6 +6,7 @@
 from loguru import logger
 import trio
 
+from dogwoodwheel.entry import admission
 from dogwoodwheel.entry import serving
 from dogwoodwheel import exceptions
 from dogwoodwheel.platform import directory
@@ -60,7 +61,7 @@
             if body is None:
                 return
             incoming = _incoming(scope, body, at)
-            admitted = serving.admit(self.parts, incoming)
+            admitted = admission.admit(self.parts, incoming)
             await self._attended(admitted, caller)
         except exceptions.RefusedError as exc:
             await self._refuse(exc.refusal, caller, request_id, at)
@@ -177,7 +178,7 @@
     target = scope["raw_path"]
     if scope["query_string"]:
         target += b"?" + scope["query_string"]
-    return serving.Incoming(
+    return admission.Incoming(
         method=scope["method"],
         path=scope["raw_path"].decode("latin-1"),
         target=target,
--- /dev/null
+++ b/dogwoodwheel/entry/enginestate.py
@@ -0,0 +1,67 @@
+"""What the leader keeps of one engine between its reports."""
+
+import dataclasses
+import math
+
+from dogwoodwheel.entry import model
+
+__all__ = ["Engine", "after"]
+
+
+@dataclasses.dataclass
+class Engine:
+    """What the leader keeps of one engine.
+
+    Parameters
+    ----------
+    endpoint : dogwoodwheel.entry.model.Endpoint
+    report : dogwoodwheel.entry.model.Report or None
+    at : float
+        Time of the report.
+    accepted : int
+        Orders that it took as far as is known.
+    ordered_at : float
+        Time of our last order.
+    coming : str
+        Model on its way in; empty for none.
+    from_store : bool
+    fresh_from : float
+        Time from which on a report tells what became of our orders.
+    sending : bool
+        Whether an order is on its way.
+    idle_at : float
+        Time of the first report after the last load that said that
+        nothing goes on.
+    ahead : set of str
+        Models that were loaded ahead of need.
+    """
+
+    endpoint: model.Endpoint
+    report: model.Report = None
+    at: float = -1e9
+    accepted: int = -1
+    ordered_at: float = -1e9
+    coming: str = ""
+    from_store: bool = False
+    fresh_from: float = -1e9
+    sending: bool = False
+    idle_at: float = math.inf
+    ahead: set = dataclasses.field(default_factory=set)
+
+    def may_take(self, now):
+        """Tell whether its newest report allows another order."""
+        return not self.sending and self.at >= self.fresh_from <= now
+
+
+def after(report, order):
+    """Return a report as it is once an order is carried out."""
+    models = dict(report.models)
+    if not order.adapter:
+        models.pop(order.model, None)
+    elif order.model in models:
+        had = models[order.model].adapters
+        change = {order.adapter}
+        models[order.model] = model.Loaded(
+            order.model, had | change if order.load else had - change
+        )
+    return dataclasses.replace(report, models=models)
--- a/dogwoodwheel/entry/leader.py
+++ b/dogwoodwheel/entry/leader.py
@@ -1,17 +1,18 @@
 """The orders of the entry that holds the lease."""
 
 import collections
-import dataclasses
 import math
 
 from loguru import logger
 import trio
 
-from dogwoodwheel.entry import model
+from dogwoodwheel.entry import adapters
+from dogwoodwheel.entry import enginestate
 from dogwoodwheel.entry import planner
+from dogwoodwheel.entry import rates
 from dogwoodwheel import exceptions
 
-__all__ = ["Leader", "Rates"]
+__all__ = ["Leader"]
 
 # Pause between two rounds of planning, and between two reports of an
 # engine that has nothing to do; seconds.
@@ -36,9 +37,6 @@
 ADAPTER_S = 0.02
 # Time that an unload of a model without requests takes, seconds.
 UNLOAD_S = 0.06
-# Demand is averaged over about this time, seconds.
-RATE_HALF_LIFE_S = 4.0
-SLOW_HALF_LIFE_S = 25.0
 # Loads from the weight store that may begin at once.
 STORE_BURST = 2.0
 # Rate that each replica of a model stands for which was there before the
@@ -49,110 +47,6 @@
 STORE_PART = 0.9
 
 
-class Rates:
-    """Requests a second for each model, over all entries.
-
-    Attributes
-    ----------
-    is_known : bool
-        Whether any request was counted.
-    """
-
-    def __init__(self):
-        self._rates = collections.defaultdict(float)
-        self._slow = collections.defaultdict(float)
-        self._totals = {}
-        self._at = None
-        self.is_known = False
-
-    def update(self, totals, now):
-        """Take counts of requests since each incarnation's start.
-
-        Parameters
-        ----------
-        totals : dict of (str, str) to int
-            By incarnation and model.
-        now : float
-            Seconds.
-        """
-        gained = collections.Counter()
-        for key, total in totals.items():
-            if key in self._totals or self._at is None:
-                gained[key[1]] += max(0, total - self._totals.get(key, total))
-            else:
-                gained[key[1]] += total
-            self._totals[key] = total
-            self.is_known = True
-        if self._at is not None and now > self._at:
-            step_s = now - self._at
-            keep = 0.5 ** (step_s / RATE_HALF_LIFE_S)
-            keep_slow = 0.5 ** (step_s / SLOW_HALF_LIFE_S)
-            for name in set(self._rates) | set(gained):
-                rate = gained[name] / step_s
-                self._rates[name] += (rate - self._rates[name]) * (1 - keep)
-                self._slow[name] += (rate - self._slow[name]) * (1 - keep_slow)
-        self._at = now
-
-    def slow(self):
-        """Return rates by model, averaged over a longer time."""
-        return dict(self._slow)
-
-    def seed(self, rates):
-        """Take rates for models of which no request is known yet."""
-        for name, rate in rates.items():
-            if not self._rates.get(name):
-                self._rates[name] = rate
-
-    def rates(self):
-        """Return the rates by model."""
-        return dict(self._rates)
-
-
-@dataclasses.dataclass
-class Engine:
-    """What the leader keeps of one engine.
-
-    Parameters
-    ----------
-    endpoint : dogwoodwheel.entry.model.Endpoint
-    report : dogwoodwheel.entry.model.Report or None
-    at : float
-        Time of the report.
-    accepted : int
-        Orders that it took as far as is known.
-    ordered_at : float
-        Time of our last order.
-    coming : str
-        Model on its way in; empty for none.
-    from_store : bool
-    fresh_from : float
-        Time from which on a report tells what became of our orders.
-    sending : bool
-        Whether an order is on its way.
-    idle_at : float
-        Time of the first report after the last load that said that
-        nothing goes on.
-    ahead : set of str
-        Models that were loaded ahead of need.
-    """
-
-    endpoint: model.Endpoint
-    report: model.Report = None
-    at: float = -1e9
-    accepted: int = -1
-    ordered_at: float = -1e9
-    coming: str = ""
-    from_store: bool = False
-    fresh_from: float = -1e9
-    sending: bool = False
-    idle_at: float = math.inf
-    ahead: set = dataclasses.field(default_factory=set)
-
-    def may_take(self, now):
-        """Tell whether its newest report allows another order."""
-        return not self.sending and self.at >= self.fresh_from <= now
-
-
 class Leader:
     """Gives orders while the lease is held.
 
@@ -167,7 +61,7 @@
         self.parts = parts
         self.lease = lease
         self.client = engines
-        self.rates = Rates()
+        self.rates = rates.Rates()
         self._engines = {}
         self._tokens = 0.0
         self._refilled_at = None
@@ -230,7 +124,7 @@
                 continue
             had = self._engines.get(name)
             if had is None or had.endpoint.born_ms != endpoint.born_ms:
-                self._engines[name] = Engine(endpoint)
+                self._engines[name] = enginestate.Engine(endpoint)
             else:
                 had.endpoint = endpoint
         for name in set(self._engines) - set(known.sightings):
@@ -390,9 +284,7 @@
 
     def _order_adapters(self, nursery, spec, engines, views, demand):
         reports = {name: engine.report for name, engine in engines.items()}
-        for order in planner.plan_adapters(
-            spec, views, demand, reports, self._used
-        ):
+        for order in adapters.plan(spec, views, demand, reports, self._used):
             engine = engines[order.endpoint]
             if not engine.may_take(trio.current_time()):
                 continue
@@ -496,7 +388,7 @@
             return "waits"
         if order.adapter or not order.load:
             await trio.sleep(ADAPTER_S if order.adapter else UNLOAD_S)
-            engine.report = _after(engine.report, order)
+            engine.report = enginestate.after(engine.report, order)
             engine.ahead.discard(order.model)
             self._show(order.endpoint, engine, trio.current_time())
         return "taken" if taken else "holds"
@@ -505,17 +397,3 @@
         """Let a report that is read from now on tell what orders did."""
         engine.fresh_from = trio.current_time() + REFUSED_PAUSE_S
         engine.accepted = -1
-
-
-def _after(report, order):
-    """Return a report as it is once an order is carried out."""
-    models = dict(report.models)
-    if not order.adapter:
-        models.pop(order.model, None)
-    elif order.model in models:
-        had = models[order.model].adapters
-        change = {order.adapter}
-        models[order.model] = model.Loaded(
-            order.model, had | change if order.load else had - change
-        )
-    return dataclasses.replace(report, models=models)
--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -1,8 +1,5 @@
 """One request of a caller: admission, attempts, answer."""
 
-import dataclasses
-import random
-
 from loguru import logger
 import trio
 
@@ -11,7 +8,6 @@
 from dogwoodwheel.entry import events
 from dogwoodwheel.entry import model
 from dogwoodwheel.entry import placing
-from dogwoodwheel.entry import routing
 from dogwoodwheel.entry import spending
 from dogwoodwheel import exceptions
 from dogwoodwheel.platform import ingress
@@ -19,11 +15,9 @@
 from dogwoodwheel.requests import refusals
 from dogwoodwheel.wire import messages
 
-__all__ = ["Incoming", "admit", "serve"]
+__all__ = ["serve"]
 
 CONNECT_TIMEOUT_S = 0.4
-# Deadline of a request that names none.
-DEFAULT_DEADLINE_S = 30.0
 # What is left to a request when it is sent, at least.
 MIN_LEFT_S = 0.05
 # An endpoint that has not begun to answer a request which may be
@@ -34,147 +28,10 @@
 LACKS_S = 0.5
 OK_BELOW = 300
 SERVER_ERROR = 500
-MAX_URGENCY = 9
 # Attempts that endpoints refused without running, beyond those counted.
 MAX_REFUSED = 4
 
 
-@dataclasses.dataclass(frozen=True)
-class Incoming:
-    """A request as it came.
-
-    Parameters
-    ----------
-    method : str
-    path : str
-        Without the query.
-    target : bytes
-    headers : tuple of (bytes, bytes)
-    body : bytes
-    at : float
-        Time of trio's clock at which its head was read.
-    """
-
-    method: str
-    path: str
-    target: bytes
-    headers: tuple
-    body: bytes
-    at: float
-
-
-@dataclasses.dataclass(frozen=True)
-class Admitted:
-    """A request that may be sent to an endpoint.
-
-    Parameters
-    ----------
-    incoming : Incoming
-    asked : dogwoodwheel.platform.ingress.Asked
-    route : dogwoodwheel.entry.model.Route
-    service : dogwoodwheel.entry.model.Service
-    customer : dogwoodwheel.entry.model.Customer or None
-    until : float
-        Time of trio's clock at which it must be answered.
-    """
-
-    incoming: Incoming
-    asked: object
-    route: model.Route
-    service: model.Service
-    customer: model.Customer
-    until: float
-
-    @property
-    def urgency(self):
-        """Rank of the request at an engine; 0 goes first."""
-        rank = self.route.rank
-        if self.customer is not None and self.customer.rank is not None:
-            rank += 3 * self.customer.rank
-        return min(MAX_URGENCY, rank)
-
-
-def admit(parts, incoming):
-    """Check a request and charge its customer.
-
-    Returns
-    -------
-    Admitted
-
-    Raises
-    ------
-    RefusedError
-    """
-    config = parts.knowledge.config
-    if config is None:
-        raise refusals.refused(
-            "starting", "this entry has only just started", 503
-        )
-    try:
-        asked = ingress.decode(incoming.headers)
-    except ValueError as exc:
-        raise refusals.refused(
-            "header_malformed", f"a header cannot be read: {exc}", 400
-        ) from exc
-    route = routing.find(config, asked.host, incoming.path)
-    if route is None:
-        raise _unknown(parts, "no_route", "no route has this path", 404)
-    customer = _customer(parts, config, route, asked)
-    service = config.services.get(routing.service_of(route, random.random()))
-    if service is None:
-        raise refusals.refused(
-            "no_service", "the route's service is not configured", 503
-        )
-    now = trio.current_time()
-    deadline_s = min(asked.deadline_s or DEFAULT_DEADLINE_S, route.timeout_s)
-    if customer is not None:
-        _charge(parts, customer, asked, now)
-    return Admitted(
-        incoming, asked, route, service, customer, incoming.at + deadline_s
-    )
-
-
-def _customer(parts, config, route, asked):
-    name = config.keys.get(asked.key) if asked.key else None
-    if name is None and not route.open:
-        raise _unknown(parts, "key_unknown", "send a valid key", 401)
-    return config.customers.get(name)
-
-
-def _unknown(parts, code, message, status):
-    """Return the refusal of what this version does not have."""
-    newest = max(
-        (p.beat.config_version for p in parts.board.peers.values()), default=0
-    )
-    if newest > parts.knowledge.config.version:
-        return refusals.refused(
-            "configuration_old",
-            "a newer configuration is on its way",
-            503,
-            retry_after_s=0.2,
-        )
-    return refusals.refused(code, message, status)
-
-
-def _charge(parts, customer, asked, now):
-    need = spending.units(customer, asked)
-    wait_s = parts.spending.charge(customer, need, now, parts.refill_part())
-    if wait_s > 0:
-        logger.info(
-            "quota: refused",
-            id=asked.id,
-            customer=customer.name,
-            units=round(need),
-            wait_s=round(wait_s, 2),
-        )
-        raise refusals.refused(
-            "rate_limited",
-            f"the customer's rate allows this in {wait_s:.1f} s",
-            429,
-            retry_after_s=wait_s,
-        )
-
-
 async def serve(parts, admitted, caller):
     """Send a request to endpoints until one answers; pass the answer on.
 
--- a/dogwoodwheel/membership/configuration.py
+++ b/dogwoodwheel/membership/configuration.py
@@ -9,7 +9,7 @@
 
 from dogwoodwheel.declaration import parse
 from dogwoodwheel import exceptions
-from dogwoodwheel.platform import objects
+from dogwoodwheel.stores import objects
 from dogwoodwheel.wire import messages
 
 __all__ = ["Configuration", "STALE_S"]
@@ -29,8 +29,8 @@
     Parameters
     ----------
     fleet : dogwoodwheel.membership.fleet.Fleet
-    tbl : dogwoodwheel.platform.table.Table
-    store : dogwoodwheel.platform.objects.Objects
+    tbl : dogwoodwheel.stores.table.Table
+    store : dogwoodwheel.stores.objects.Objects
 
     Notes
     -----
--- a/dogwoodwheel/membership/proof.py
+++ b/dogwoodwheel/membership/proof.py
@@ -65,7 +65,7 @@
 
         Parameters
         ----------
-        vms : tuple of dogwoodwheel.platform.vms.Vm
+        vms : tuple of dogwoodwheel.stores.vms.Vm
         me : str
             The reader's own VM; a list without it is too old to prove
             that another VM is gone.
--- a/dogwoodwheel/membership/registrar.py
+++ b/dogwoodwheel/membership/registrar.py
@@ -12,7 +12,7 @@
 from dogwoodwheel.membership import sightings
 from dogwoodwheel.membership import transfers
 from dogwoodwheel.membership import view
-from dogwoodwheel.platform import table
+from dogwoodwheel.stores import table
 
 __all__ = ["Registrar"]
 
@@ -26,7 +26,7 @@
     Parameters
     ----------
     fleet : dogwoodwheel.membership.fleet.Fleet
-    tbl : dogwoodwheel.platform.table.Table
+    tbl : dogwoodwheel.stores.table.Table
     rights : dogwoodwheel.membership.rights.Rights
         Told what is gained and lost.
 
--- a/dogwoodwheel/membership/rows.py
+++ b/dogwoodwheel/membership/rows.py
@@ -12,7 +12,7 @@
 import dataclasses
 
 from dogwoodwheel.membership import view
-from dogwoodwheel.platform import table
+from dogwoodwheel.stores import table
 
 __all__ = [
     "ENTRIES",
@@ -54,7 +54,7 @@
 
     Parameters
     ----------
-    row : dogwoodwheel.platform.table.Row
+    row : dogwoodwheel.stores.table.Row
 
     Returns
     -------
--- a/dogwoodwheel/membership/transfers.py
+++ b/dogwoodwheel/membership/transfers.py
@@ -16,7 +16,7 @@
 from dogwoodwheel.membership import assign
 from dogwoodwheel.membership import rows
 from dogwoodwheel.membership import view
-from dogwoodwheel.platform import table
+from dogwoodwheel.stores import table
 from dogwoodwheel.wire import messages
 
 __all__ = ["claim", "hand", "take"]
--- a/dogwoodwheel/placement/decider.py
+++ b/dogwoodwheel/placement/decider.py
@@ -66,7 +66,7 @@
     Parameters
     ----------
     fleet : dogwoodwheel.membership.fleet.Fleet
-    table : dogwoodwheel.platform.table.Table
+    table : dogwoodwheel.stores.table.Table
     rng : random.Random, optional
 
     Notes
--- a/dogwoodwheel/placement/placer.py
+++ b/dogwoodwheel/placement/placer.py
@@ -15,7 +15,7 @@
     Parameters
     ----------
     fleet : dogwoodwheel.membership.fleet.Fleet
-    table : dogwoodwheel.platform.table.Table
+    table : dogwoodwheel.stores.table.Table
     """
 
     def __init__(self, fleet, table):
--- a/dogwoodwheel/placement/records.py
+++ b/dogwoodwheel/placement/records.py
@@ -13,7 +13,7 @@
 import uuid
 
 from dogwoodwheel import exceptions
-from dogwoodwheel.platform import table as tables
+from dogwoodwheel.stores import table as tables
 
 __all__ = [
     "ENDPOINTS",
@@ -204,7 +204,7 @@
 
     Parameters
     ----------
-    table : dogwoodwheel.platform.table.Table
+    table : dogwoodwheel.stores.table.Table
     record : EndpointRecord
     memory_mb : int, optional
         Memory of the endpoint, megabytes; to be given where the record
@@ -234,7 +234,7 @@
 
     Parameters
     ----------
-    table : dogwoodwheel.platform.table.Table
+    table : dogwoodwheel.stores.table.Table
     model : ModelRecord
         As read; its version is checked.
     endpoint : EndpointRecord
--- a/dogwoodwheel/platform/__init__.py
+++ b/dogwoodwheel/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform's services."""
+"""The operators' platform: translation of its protocol, nothing else."""
--- a/dogwoodwheel/programs/cli_changes.py
+++ b/dogwoodwheel/programs/cli_changes.py
@@ -8,11 +8,11 @@
 from dogwoodwheel.declaration import edit as edit_module
 from dogwoodwheel.declaration import parse
 from dogwoodwheel import exceptions
-from dogwoodwheel.platform import objects
 from dogwoodwheel.programs import cli_common
 from dogwoodwheel.programs import cli_entries
 from dogwoodwheel.programs import cli_show
 from dogwoodwheel.programs import cli_store
+from dogwoodwheel.stores import objects
 
 __all__ = ["PATIENCE_S", "apply", "edit", "issue", "user"]
 
--- a/dogwoodwheel/programs/cli_entries.py
+++ b/dogwoodwheel/programs/cli_entries.py
@@ -67,7 +67,7 @@
     Parameters
     ----------
     cfg : dogwoodwheel.programs.settings.OperatorSettings
-    tbl : dogwoodwheel.platform.table.Table
+    tbl : dogwoodwheel.stores.table.Table
     """
     rows = await tbl.scan(TABLE)
     return {row.key: cfg.route(row.value["peer"]) for row in rows}
--- a/dogwoodwheel/programs/cli_store.py
+++ b/dogwoodwheel/programs/cli_store.py
@@ -9,8 +9,8 @@
 from dogwoodwheel.declaration import check
 from dogwoodwheel.declaration import parse
 from dogwoodwheel import exceptions
-from dogwoodwheel.platform import objects
-from dogwoodwheel.platform import table
+from dogwoodwheel.stores import objects
+from dogwoodwheel.stores import table
 
 __all__ = ["Accepted", "Store"]
 
@@ -70,8 +70,8 @@
 
     Parameters
     ----------
-    tbl : dogwoodwheel.platform.table.Table
-    store : dogwoodwheel.platform.objects.Objects
+    tbl : dogwoodwheel.stores.table.Table
+    store : dogwoodwheel.stores.objects.Objects
 
     Notes
     -----
--- a/dogwoodwheel/programs/coordinator.py
+++ b/dogwoodwheel/programs/coordinator.py
@@ -23,9 +23,6 @@
 from dogwoodwheel.membership import vmwatch
 from dogwoodwheel.placement import decider as decider_module
 from dogwoodwheel.placement import loads as loads_module
-from dogwoodwheel.platform import objects as objects_module
-from dogwoodwheel.platform import table as table_module
-from dogwoodwheel.platform import vms as vms_module
 from dogwoodwheel.programs import admin
 from dogwoodwheel.programs import gateways as gateways_module
 from dogwoodwheel.programs import handlers
@@ -35,6 +32,9 @@
 from dogwoodwheel.programs import settings as settings_module
 from dogwoodwheel.requests import admission as admission_module
 from dogwoodwheel.requests import inflight
+from dogwoodwheel.stores import objects as objects_module
+from dogwoodwheel.stores import table as table_module
+from dogwoodwheel.stores import vms as vms_module
 from dogwoodwheel.wire import link
 
 __all__ = ["main", "serve"]
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -3,6 +3,7 @@
 import pathlib
 import signal
 import socket
+import sys
 import uuid
 
 import cyclopts
@@ -19,6 +20,7 @@
 from dogwoodwheel.entry import lease as lease_module
 from dogwoodwheel.entry import membership
 from dogwoodwheel.entry import parts as parts_module
+from dogwoodwheel import exceptions
 from dogwoodwheel.platform import boot
 from dogwoodwheel.platform import engines as engines_module
 from dogwoodwheel.platform import store as store_module
@@ -59,7 +61,10 @@
     log_level
         Lowest level that is logged.
     """
-    cfg = boot.read(settings or boot.path())
+    try:
+        cfg = boot.read(settings or boot.path())
+    except exceptions.SettingsError as exc:
+        sys.exit(f"dogwoodwheel-entry: {exc}")
     logs.set_up("json", log_level, "entry", cfg.name)
     trio.run(serve, cfg)
 
--- a/dogwoodwheel/programs/gateway.py
+++ b/dogwoodwheel/programs/gateway.py
@@ -14,7 +14,6 @@
 
 from dogwoodwheel.engines import exchange
 from dogwoodwheel import exceptions
-from dogwoodwheel.platform import table as table_module
 from dogwoodwheel.programs import admin
 from dogwoodwheel.programs import metrics as metrics_module
 from dogwoodwheel.programs import running
@@ -26,6 +25,7 @@
 from dogwoodwheel.requests import idempotency
 from dogwoodwheel.requests import services
 from dogwoodwheel.requests import stopping as stopping_module
+from dogwoodwheel.stores import table as table_module
 from dogwoodwheel.wire import messages
 
 __all__ = ["main", "serve"]
--- a/dogwoodwheel/requests/idempotency.py
+++ b/dogwoodwheel/requests/idempotency.py
@@ -17,10 +17,10 @@
 import trio
 
 from dogwoodwheel import exceptions
-from dogwoodwheel.platform import table as platform_table
 from dogwoodwheel.requests import callers
 from dogwoodwheel.requests import records
 from dogwoodwheel.requests import refusals
+from dogwoodwheel.stores import table as platform_table
 from dogwoodwheel.wire import messages
 
 __all__ = ["Records"]
@@ -37,7 +37,7 @@
 
     Parameters
     ----------
-    table : dogwoodwheel.platform.table.Table
+    table : dogwoodwheel.stores.table.Table
     detached : dogwoodwheel.requests.detached.Detached
     """
 
--- a/dogwoodwheel/requests/records.py
+++ b/dogwoodwheel/requests/records.py
@@ -97,7 +97,7 @@
 
     Parameters
     ----------
-    row : dogwoodwheel.platform.table.Row
+    row : dogwoodwheel.stores.table.Row
     digest : str
         Of the request that asks.
 
--- /dev/null
+++ b/dogwoodwheel/stores/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the services that gateways and coordinators build on."""
--- a/dogwoodwheel/platform/objects.py
+++ b/dogwoodwheel/stores/objects.py
@@ -3,7 +3,7 @@
 import hashlib
 
 from dogwoodwheel import exceptions
-from dogwoodwheel.platform import http
+from dogwoodwheel.stores import http
 
 __all__ = ["HttpObjects", "Objects", "digest_of"]
 
--- a/dogwoodwheel/platform/table.py
+++ b/dogwoodwheel/stores/table.py
@@ -12,7 +12,7 @@
 import uuid
 
 from dogwoodwheel import exceptions
-from dogwoodwheel.platform import http
+from dogwoodwheel.stores import http
 
 __all__ = ["Check", "HttpTable", "Row", "Table", "Write", "settle"]
 
@@ -90,7 +90,7 @@
 
     Parameters
     ----------
-    client : dogwoodwheel.platform.http.Client
+    client : dogwoodwheel.stores.http.Client
     """
 
     def __init__(self, client):
--- a/dogwoodwheel/platform/vms.py
+++ b/dogwoodwheel/stores/vms.py
@@ -3,7 +3,7 @@
 import dataclasses
 import json
 
-from dogwoodwheel.platform import http
+from dogwoodwheel.stores import http
 
 __all__ = ["LEAVING", "LIVE", "HttpVms", "Vm", "Vms"]
 
--- a/features/entry_placement.feature
+++ b/features/entry_placement.feature
@@ -58,3 +58,15 @@
   Scenario: Rates follow the demand over restarts of entries
     When two entries count requests and one of them starts anew
     Then the rate is that of both
+
+  Scenario: A report lacks the model that has just been loaded
+    Given a leader that had the load of "m1" taken at an engine with "m0"
+    When a report says that nothing goes on and lists only "m0"
+    Then the engine counts as busy with "m1"
+    When such a report comes 1 s later
+    Then the engine is free for another order
+
+  Scenario: A report that is older than our last order
+    Given a leader that had the load of "m1" taken at an engine with "m0"
+    When a report shows one order less than were taken
+    Then the engine counts as busy with "m1"
--- a/features/steps/entry_placement_steps.py
+++ b/features/steps/entry_placement_steps.py
@@ -1,14 +1,18 @@
 """Steps that replay demand for models against the planner."""
 
 import dataclasses
+import types
 
 from behave import given
 from behave import then
 from behave import when
 
+from dogwoodwheel.entry import adapters
+from dogwoodwheel.entry import enginestate
 from dogwoodwheel.entry import leader
 from dogwoodwheel.entry import model
 from dogwoodwheel.entry import planner
+from dogwoodwheel.entry import rates
 from features import entry_builders
 
 
@@ -173,7 +177,7 @@
         for name, view in context.views.items()
     }
     demand = planner.Demand({}, context.waiting)
-    return planner.plan_adapters(
+    return adapters.plan(
         context.spec, list(context.views.values()), demand, reports, {}
     )
 
@@ -198,7 +202,7 @@
 
 @when("two entries count requests and one of them starts anew")
 def step_rates(context):
-    context.followed = leader.Rates()
+    context.followed = rates.Rates()
     first, second = 0, 100
     for n in range(200):
         now = n * 0.25
@@ -215,3 +219,54 @@
 def step_both(context):
     rate = context.followed.rates()["m0"]
     assert 7.5 < rate < 8.5, rate
+
+
+@given('a leader that had the load of "{name}" taken at an engine with "{at}"')
+def step_leader(context, name, at):
+    parts = types.SimpleNamespace(
+        knowledge=types.SimpleNamespace(holdings={}, hold=lambda *_: None),
+        board=types.SimpleNamespace(hurry=lambda: None),
+    )
+    context.leader = leader.Leader(parts, None, None)
+    held = {at: model.Loaded(at)}
+    context.engine = enginestate.Engine(
+        entry_builders.endpoint(),
+        report=model.Report(held, False, 0),
+        accepted=1,
+        ordered_at=10.0,
+        coming=name,
+    )
+    context.at = 10.3
+
+
+def take(context, at, accepted):
+    held = {"m0": model.Loaded("m0")}
+    report = model.Report(held, False, accepted)
+    context.leader._take("i-1", context.engine, report, at)
+
+
+@when('a report says that nothing goes on and lists only "{name}"')
+def step_lacking(context, name):
+    take(context, context.at, 1)
+
+
+@when("such a report comes {s:d} s later")
+def step_later(context, s):
+    take(context, context.at + s, 1)
+
+
+@when("a report shows one order less than were taken")
+def step_older(context):
+    take(context, context.at, 0)
+
+
+@then('the engine counts as busy with "{name}"')
+def step_counts(context, name):
+    assert context.engine.coming == name
+    assert context.engine.accepted == 1
+
+
+@then("the engine is free for another order")
+def step_free(context):
+    assert not context.engine.coming
+    assert context.engine.may_take(context.at + 2)
