--- a/dogwoodwheel/entry/following.py
+++ b/dogwoodwheel/entry/following.py
@@ -12,9 +12,10 @@
 # Longest wait for a change of the configuration.  A connection that
 # went silent without a reset is noticed after it at the latest.
 FEED_S = 4.0
-# Pause between two scans of the endpoints; a leaving one gets nothing
-# more within the platform's `drain_s`, two seconds or more.
-SCAN_S = 0.7
+# Pause between two scans of the endpoints, as a part of the time within
+# which a leaving one is to get nothing more.  A scan that is lost and made
+# again still ends within it.
+SCAN_PART = 0.35
 # Time for one scan; a lost answer must not use up what is left of it.
 SCAN_TIMEOUT_S = 0.6
 # Pauses after a failed call, seconds.
@@ -28,15 +29,23 @@
     await _forever("operator", knowledge, follower.step)
 
 
-async def follow_endpoints(store, knowledge):
-    """Scan the endpoints' registrations, for ever."""
+async def follow_endpoints(store, knowledge, drain_s):
+    """Scan the endpoints' registrations, for ever.
+
+    Parameters
+    ----------
+    store : dogwoodwheel.platform.store.Store
+    knowledge : dogwoodwheel.entry.knowledge.Knowledge
+    drain_s : float
+        Time after which a leaving endpoint gets nothing more, seconds.
+    """
     reader = _Reader()
 
     async def step():
         rows = await store.scan(registrations.TABLE, timeout_s=SCAN_TIMEOUT_S)
         knowledge.scan(reader.read(rows.rows))
         knowledge.heard_at = trio.current_time()
-        await trio.sleep(SCAN_S)
+        await trio.sleep(SCAN_PART * drain_s)
 
     await _forever("endpoints", knowledge, step)
 
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -145,7 +145,9 @@
         await nursery.start(self._serve_side)
         await nursery.start(self._serve_front)
         nursery.start_soon(following.follow_operator, self.store, known)
-        nursery.start_soon(following.follow_endpoints, self.store, known)
+        nursery.start_soon(
+            following.follow_endpoints, self.store, known, self.cfg.drain_s
+        )
         nursery.start_soon(self.parts.board.run)
         nursery.start_soon(self.member.run)
         nursery.start_soon(self.lease.run, self.member.is_ready)
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -133,7 +133,7 @@
   Scenario: Answers of the store are lost
     Given the entry "one"
     When the store loses its answers
-    And 4 s pass
+    And 4 s go by
     Then "one" still holds the lease with its first token
 
   Scenario: The leader is killed
@@ -145,13 +145,13 @@
   Scenario: A leaving endpoint gets nothing more
     Given the entry "one"
     When the worker "p1" registers that it is leaving
-    And 1.5 s pass
+    And 1.5 s go by
     Then 20 requests for "/stock/7" reach only "p2"
 
   Scenario: A zone is evacuated
     Given the entry "one"
     When the zone of "p1" is evacuated
-    And 1 s pass
+    And 1 s go by
     Then 20 requests for "/stock/7" reach only "p2"
 
   Scenario: An entry stops while it streams
@@ -171,7 +171,7 @@
   Scenario: A registration of another writer
     Given the entry "one"
     When a registration cannot be read
-    And 1 s pass
+    And 1 s go by
     Then "one" logged that it cannot be read
     And "/stock/7" is answered 200
 
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -286,7 +286,7 @@
     context.fleet.configure(5, tenants=tenants)
 
 
-@when("{s:g} s pass")
+@when("{s:g} s go by")
 def step_pass(context, s):
     time.sleep(s)
 
