Never say "not run" of a request whose earlier attempt may have run

Found reading: after a broken attempt of a request that may be repeated, a refusal for want of another endpoint said that it had not run. The failure of the earlier attempt is the answer now; a test failed first.

--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -107,12 +107,27 @@
                     # The only endpoint left is better than none.
                     self.avoid.clear()
             if sighting is None:
-                sighting = await placing.place(parts, need, self.avoid)
+                sighting = await self._place(failed)
             self.full = False
             failed = await self._attempt(sighting)
             if failed is None:
                 return
 
+    async def _place(self, failed):
+        """Return the sighting of the endpoint for the next attempt.
+
+        Notes
+        -----
+        Where an earlier attempt may have run, its failure is the answer:
+        a refusal would say that the request has not run.
+        """
+        try:
+            return await placing.place(self.parts, self.need, self.avoid)
+        except exceptions.RefusedError:
+            if self.maybe_ran:
+                raise failed from None
+            raise
+
     def _check_again(self, failed):
         """Raise if the request may not be sent again."""
         route = self.admitted.route
--- a/features/entry_decisions.feature
+++ b/features/entry_decisions.feature
@@ -67,3 +67,13 @@
     Then events pass in order however they are cut into parts
     And an event that is missing or doubled ends the stream
     And half an event is never passed on
+
+  Scenario: No endpoint is left for a request that may have run
+    Given a request whose first attempt may have run
+    When no endpoint can take its next attempt
+    Then the answer is the failure of the first, not "not run"
+
+  Scenario: No endpoint is left for a request that has not run
+    Given a request whose first attempt did not run
+    When no endpoint can take its next attempt
+    Then the answer says that it has not run
--- a/features/steps/entry_decision_steps.py
+++ b/features/steps/entry_decision_steps.py
@@ -3,21 +3,27 @@
 import collections
 import math
 import random
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
+import trio
 
+from dogwoodwheel.entry import admission
 from dogwoodwheel.entry import budget as budget_module
 from dogwoodwheel.entry import choice
 from dogwoodwheel.entry import cold
 from dogwoodwheel.entry import events
 from dogwoodwheel.entry import knowledge
 from dogwoodwheel.entry import model
+from dogwoodwheel.entry import placing
+from dogwoodwheel.entry import serving
 from dogwoodwheel.entry import spending
 from dogwoodwheel.entry import suspicion
 from dogwoodwheel import exceptions
 from dogwoodwheel.platform import ingress
+from dogwoodwheel.requests import refusals
 from features import entry_builders
 
 WINDOW_S = 8.0
@@ -345,3 +351,40 @@
     splitter = events.Splitter(ingress.event_id)
     assert splitter.feed(event(1) + event(2)[:-1]) == event(1)
     assert splitter.pending
+
+
+@given("a request whose first attempt {ran}")
+def step_attempted(context, ran):
+    route = model.Route("r", "h", "/", model.Kind.SAFE, (("s", 1.0),), 5, 1)
+    asked = ingress.Asked("id", "h")
+    incoming = admission.Incoming("GET", "/", b"/", (), b"", 0.0)
+    admitted = admission.Admitted(
+        incoming, asked, route, model.Service("s", "/health", 1), None, 1e9
+    )
+    context.attempts = serving.Run(None, admitted, None)
+    context.attempts.maybe_ran = ran == "may have run"
+    context.earlier = refusals.refused("failed", "first", 502, "unknown")
+
+
+@when("no endpoint can take its next attempt")
+def step_no_endpoint(context):
+    async def refuse(parts, need, avoid):
+        raise refusals.refused("no_endpoint", "none is left", 503)
+
+    with mock.patch.object(placing, "place", refuse):
+        try:
+            trio.run(context.attempts._place, context.earlier)
+        except exceptions.RefusedError as exc:
+            context.refusal = exc.refusal
+
+
+@then('the answer is the failure of the first, not "not run"')
+def step_first(context):
+    assert context.refusal.status == 502, context.refusal
+    assert context.refusal.run == "unknown"
+
+
+@then("the answer says that it has not run")
+def step_not_run(context):
+    assert context.refusal.status == 503, context.refusal
+    assert context.refusal.run == "not_run"
