Keep track of a model load when an adapter order is refused

Cause: an engine that loads a model refuses adapter orders as busy, and the sender then cleared the model that the leader held to be loading there. Requests for it were refused as if no load had begun, and the model was loaded a second time elsewhere.

Ruled out: a lost disk copy (the traced engine still had it).

--- a/dogwoodwheel/entry/adapter_planner.py
+++ b/dogwoodwheel/entry/adapter_planner.py
@@ -4,6 +4,8 @@
 -----
 Workload: a busy model has more adapters than its engines have adapter
 slots.  Requests for an adapter wait until an engine has loaded the adapter.
+An engine that loads a model takes no order, so adapters go to other engines
+with the same base model, or wait.
 """
 
 import math
@@ -38,17 +40,16 @@
         if not adapter:
             continue
         model_holders = [e for e in engines if model_name in e.models]
-        model_holders = [
-            e for e in model_holders if not e.busy
-        ] or model_holders
         if any(
             adapter in e.models[model_name].adapters
             or requested_name in reports[e.id].loading_adapters
             for e in model_holders
         ):
             continue
-        model_holders.sort(key=lambda e: sum(e.in_flight.values()))
-        for engine in model_holders:
+        # A busy engine refuses all orders.
+        free_holders = [e for e in model_holders if not e.busy]
+        free_holders.sort(key=lambda e: sum(e.in_flight.values()))
+        for engine in free_holders:
             order = _next_order(
                 spec,
                 engine,
--- a/dogwoodwheel/entry/order_sender.py
+++ b/dogwoodwheel/entry/order_sender.py
@@ -85,7 +85,9 @@
                     engine.require_new_report(trio.current_time())
                     break
                 await trio.sleep(BUSY_RETRY_PAUSE_S)
-        if outcome not in ("taken", "holds"):
+        if outcome not in ("taken", "holds") and not order.adapter:
+            # An adapter order may fail because a model load, sent before, is
+            # still under way.
             engine.loading_model = ""
         self._components.metrics.count_order(
             "load" if order.load else "unload"
--- a/features/entry_placement.feature
+++ b/features/entry_placement.feature
@@ -85,3 +85,14 @@
     Given a leader that had the load of "m0" taken at an engine with "m0"
     When adapter "a1" of "m0" is unloaded there at once, and "a2" loaded
     Then the engine is told to expect one order more for the second one
+
+  Scenario: An engine that loads a model refuses an adapter order
+    Given a leader that had the load of "m1" taken at an engine with "m0"
+    When the engine refuses an order for adapter "a1" of "m0" as busy
+    Then the engine still counts as loading "m1"
+
+  Scenario: The only engine with an adapter's model loads another model
+    Given engines "a" with "m0 m1" and "b" with "m2 m3"
+    And engine "a" is busy
+    When 1 request waits for "m0/a1"
+    Then no adapter order is given
--- a/features/steps/entry_placement_steps.py
+++ b/features/steps/entry_placement_steps.py
@@ -17,6 +17,7 @@
 from dogwoodwheel.entry import order_sender
 from dogwoodwheel.entry import planner
 from dogwoodwheel.entry import rates
+from dogwoodwheel import exceptions
 from features import entry_builders
 
 
@@ -292,6 +293,40 @@
         return order.load
 
 
+class BusyClient:
+    """A client of an engine that is carrying out another order."""
+
+    async def send_order(self, endpoint, order, token, holder, accepted):
+        raise exceptions.BusyError("another order is under way")
+
+
+@when(
+    'the engine refuses an order for adapter "{adapter}" of "{name}" as busy'
+)
+def step_refused_as_busy(context, adapter, name):
+    orders = order_sender.OrderSender(
+        types.SimpleNamespace(
+            settings=types.SimpleNamespace(name="entry-1"),
+            fleet_state=types.SimpleNamespace(notify_change=lambda: None),
+            metrics=types.SimpleNamespace(count_order=lambda kind: None),
+        ),
+        types.SimpleNamespace(fencing_token=7, may_order=True),
+        BusyClient(),
+        context.leader._publish_holdings,
+    )
+    order = datatypes.Order("i-1", True, name, adapter)
+
+    async def play():
+        await orders.send(context.engine, (order,), "asked for")
+
+    trio.run(play, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then('the engine still counts as loading "{name}"')
+def step_still_loading(context, name):
+    assert context.engine.loading_model == name, context.engine
+
+
 @when(
     'adapter "{first}" of "{name}" is unloaded there at once, and "{second}" '
     "loaded"
