Bound replies that never end

Operators report servers in trouble that send bytes which are no answer, in a head or a body, until the caller closes. It could happen here: a whole body was read without a limit, and informational responses were skipped without one; the request then ended only at its deadline, and a body filled the memory of the VM. Heads and events were bounded already (16 KB by h11, 1 MB).

Bodies are now read up to 4 MiB (16 MiB from the store, whose objects may have 8), and 16 informational responses are skipped. Beyond that the connection is closed, the endpoint counts as failing, and a request that may be repeated goes elsewhere.

--- a/dogwoodwheel/engines/connections.py
+++ b/dogwoodwheel/engines/connections.py
@@ -20,6 +20,8 @@
 __all__ = ["Connection"]
 
 RECEIVE_BYTES = 65536
+# A reply with more informational responses before its head is malformed.
+MAX_INFORMATIONAL_RESPONSES = 16
 # Maximum size of a request that fits into the socket's send buffer.  A
 # shorter one can be sent without blocking, even if the peer replies without
 # reading the request.
@@ -186,14 +188,16 @@
         Raises
         ------
         ReplyError
-            If the reply has no valid head.
+            If the reply has no valid head, or more than
+            `MAX_INFORMATIONAL_RESPONSES` before it.
         """
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self._reply_error("no head")
+        raise self._reply_error("too many informational responses")
 
     async def iter_chunks(self, before_wait=None):
         """Yield the chunks of the reply's body.
--- a/dogwoodwheel/engines/http.py
+++ b/dogwoodwheel/engines/http.py
@@ -27,6 +27,9 @@
 # idle connections if that is shorter, minus KEEPALIVE_MARGIN_S.
 MAX_KEEPALIVE_S = 20.0
 KEEPALIVE_MARGIN_S = 0.5
+# Maximum size of the body of an endpoint's reply that is read as a whole; as
+# much as a caller may send.  A faulty endpoint may send bytes without end.
+MAX_BODY_BYTES = 4 * 1024 * 1024
 CONNECTIONS = 256
 REQUEST_ID_HEADER = b"x-request-id"
 PEER_TIMEOUT_PATTERN = re.compile(rb"timeout=(\d+)")
@@ -114,9 +117,28 @@
                     return
                 yield chunk
 
-    async def read(self):
-        """Return the whole body."""
-        return b"".join([chunk async for chunk in self.iter_chunks()])
+    async def read(self, max_bytes=MAX_BODY_BYTES):
+        """Return the whole body.
+
+        Parameters
+        ----------
+        max_bytes : int
+            Maximum size of the body.
+
+        Raises
+        ------
+        ReplyError
+            If the body is malformed, incomplete or longer.
+        """
+        body = bytearray()
+        async for chunk in self.iter_chunks():
+            body += chunk
+            if len(body) > max_bytes:
+                raise exceptions.ReplyError(
+                    f"a reply is longer than {max_bytes} bytes; look at the "
+                    f"log of the server"
+                )
+        return bytes(body)
 
 
 class HttpClient:
@@ -177,7 +199,7 @@
                 with trio.CancelScope(shield=True):
                     await conn.aclose()
 
-    async def call(self, address, req, timeout_s):
+    async def call(self, address, req, timeout_s, max_bytes=MAX_BODY_BYTES):
         """Send a request and return the status and body of its reply.
 
         Parameters
@@ -187,6 +209,8 @@
         req : Request
         timeout_s : float
             Maximum time from the start to the end of the body, seconds.
+        max_bytes : int
+            Maximum size of the reply's body.
 
         Returns
         -------
@@ -203,7 +227,7 @@
         try:
             with trio.fail_after(timeout_s):
                 async with self.stream(address, req, timeout_s) as reply:
-                    return reply.status, await reply.read()
+                    return reply.status, await reply.read(max_bytes)
         except trio.TooSlowError as exc:
             raise exceptions.ReplyError(
                 f"{address} did not answer within {timeout_s:.1f} s; "
--- a/dogwoodwheel/platform/store.py
+++ b/dogwoodwheel/platform/store.py
@@ -21,6 +21,9 @@
 OBJECT_TIMEOUT_S = 3.0
 # Maximum number of rows that the platform returns in one page.
 MAX_PAGE_ROWS = 500
+# Maximum size of a reply of the store.  The largest ones hold an object, whose
+# size the platform limits to 8 MiB.
+MAX_REPLY_BYTES = 16 * 1024 * 1024
 # Upper limit of the reported age of the last reply.  Also reported before the
 # first reply.
 MAX_REPLY_AGE_S = 1e6
@@ -264,7 +267,7 @@
         request = http.Request("", method, target, REQUEST_HEADERS, body)
         try:
             status, data = await self._http_client.call(
-                self.address, request, timeout_s
+                self.address, request, timeout_s, MAX_REPLY_BYTES
             )
         except exceptions.NotSentError as exc:
             raise exceptions.PlatformError(
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -57,6 +57,21 @@
       | encoded  | 502    | 1     |
       | error    | 500    | 1     |
 
+  Scenario Outline: Bytes that are no answer come without end
+    Given the entry "one"
+    And the next request at each plain worker meets "<fault>"
+    When a caller posts to "/orders/1"
+    Then it gets 502
+    And it was held for less than 2000 ms
+    And 1 plain workers ran it
+    And the entry "one" uses less than 90 MB
+
+    Examples:
+      | fault           |
+      | endless_head    |
+      | endless_interim |
+      | endless_body    |
+
   Scenario: A request that may run once, which a worker did not run
     Given the entry "one"
     And the next request at 1 plain worker meets "full"
@@ -85,6 +100,9 @@
       | hang     |
       | surplus  |
       | unframed |
+      | endless_head    |
+      | endless_interim |
+      | endless_body    |
 
   Scenario: A model that no engine holds is loaded
     Given the entry "one"
--- a/features/standins/process.py
+++ b/features/standins/process.py
@@ -1,6 +1,7 @@
 """Processes of a test, each ended by its own id."""
 
 import os
+import pathlib
 import signal
 import subprocess
 import time
@@ -92,6 +93,12 @@
         """Tell whether it runs."""
         return self.popen is not None and self.popen.poll() is None
 
+    def peak_memory_mb(self):
+        """Return the most memory that it has occupied, in MB."""
+        status = pathlib.Path(f"/proc/{self.popen.pid}/status").read_text()
+        (line,) = [x for x in status.splitlines() if x.startswith("VmHWM")]
+        return int(line.split()[1]) / 1024
+
     def terminate(self):
         """Send SIGTERM and return at once."""
         if self.running():
--- a/features/standins/worker.py
+++ b/features/standins/worker.py
@@ -8,6 +8,7 @@
 """
 
 import argparse
+import contextlib
 import functools
 import json
 import time
@@ -39,6 +40,9 @@
     "encoded",
     "surplus",
     "unframed",
+    "endless_head",
+    "endless_interim",
+    "endless_body",
     "break",
     "skip",
 )
@@ -46,6 +50,20 @@
 LATE_ORDER_S = 1.0
 
 
+# What is sent first, and then again and again.
+ENDLESS = {
+    "endless_body": (
+        b"HTTP/1.1 200 OK\r\n(headers)Transfer-Encoding: chunked\r\n\r\n",
+        b"8000\r\n" + 0x8000 * b"x" + b"\r\n",
+    ),
+    "endless_head": (
+        b"HTTP/1.1 200 OK\r\n(headers)",
+        b"X-Fill: " + 1000 * b"x" + b"\r\n",
+    ),
+    "endless_interim": (b"", 20 * b"HTTP/1.1 100 Continue\r\n\r\n"),
+}
+
+
 class Worker:
     """An engine, or a plain service where it has no memory.
 
@@ -236,6 +254,8 @@
                 + body
             )
             exchange.cut()
+        elif fault in ENDLESS:
+            await self._send_without_end(exchange, headers, fault)
         elif fault == "unframed":
             await exchange.raw(
                 b"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Request-Id: "
@@ -260,6 +280,15 @@
                     b"surplus"
                 )
 
+    async def _send_without_end(self, exchange, headers, fault):
+        """Send bytes that are no answer until the caller closes."""
+        lines = "".join(f"{key}: {value}\r\n" for key, value in headers)
+        start, piece = ENDLESS[fault]
+        await exchange.raw(start.replace(b"(headers)", lines.encode()))
+        with contextlib.suppress(trio.BrokenResourceError):
+            while True:
+                await exchange.raw(piece)
+
     async def _stream(self, exchange, headers, fault):
         first = int(exchange.headers.get("last-event-id", 0)) + 1
         await exchange.start(
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -164,7 +164,9 @@
 
 @when('a caller posts to "{path}"')
 def step_post(context, path):
+    began = time.monotonic()
     context.answer = context.fleet.ask("one", path, "POST", b"order")
+    context.took_s = time.monotonic() - began
 
 
 @then("it gets {status:d}")
@@ -189,6 +191,13 @@
     assert context.took_s * 1000 < ms, context.took_s
 
 
+@then('the entry "{name}" uses less than {megabytes:d} MB')
+def step_memory(context, name, megabytes):
+    proc, _ = context.fleet.entries[name]
+    used_mb = proc.peak_memory_mb()
+    assert used_mb < megabytes, used_mb
+
+
 @when('a caller asks for "{path}" twice')
 def step_twice(context, path):
     context.answers = [context.fleet.ask("one", path) for _ in range(2)]
