Answer requests that arrive while a stopping entry closes connections

Cause: the HTTP server closes idle connections when it stops accepting, also one on which a request has arrived in the same moment; and the entry ended as soon as no request ran at one look, although connections were still open. Ruled out: the grace period (requests took 0.05 s).

Also shown, and sound before: a stream that sends a byte now and then ends at its deadline and its connection is closed; a slow stream passes whole.

--- a/dogwoodwheel/entry/app.py
+++ b/dogwoodwheel/entry/app.py
@@ -17,6 +17,9 @@
 __all__ = ["CallerApp", "StatusApp"]
 
 JSON_CONTENT_TYPE = "application/json"
+# Time after which it shows whether the HTTP server closed an idle connection
+# at the moment at which a request arrived on it.
+CLOSING_CHECK_S = 0.02
 
 
 class CallerApp:
@@ -28,6 +31,10 @@
     is_leaving : callable
         ``is_leaving()`` returns whether callers should use another entry;
         if so, each connection is closed after its next reply.
+    is_closing : callable
+        ``is_closing()`` returns whether the HTTP server closes connections.
+        A request that arrives then is passed on only if its connection is
+        still open, so that none is run whose answer is lost.
 
     Attributes
     ----------
@@ -35,9 +42,10 @@
         Number of requests that have arrived and are not finished.
     """
 
-    def __init__(self, components, is_leaving):
+    def __init__(self, components, is_leaving, is_closing=lambda: False):
         self.components = components
         self.is_leaving = is_leaving
+        self.is_closing = is_closing
         self.running_requests = 0
 
     async def __call__(self, scope, receive, send):
@@ -101,6 +109,8 @@
 
             nursery.start_soon(cancel_on_disconnect)
             try:
+                if self.is_closing():
+                    await trio.sleep(CLOSING_CHECK_S)
                 await serving.serve(self.components, admitted_request, caller)
             except exceptions.DogwoodwheelError as exc:
                 service_error = exc
--- a/dogwoodwheel/entry/heartbeats.py
+++ b/dogwoodwheel/entry/heartbeats.py
@@ -38,10 +38,10 @@
 RECEIVE_BUFFER_BYTES = 65536
 # Maximum size of a compressed message, slightly less than a datagram holds.
 MAX_MESSAGE_BYTES = 60000
-# Number of datagrams that an entry sends at once.  The entries of a large fleet
-# spread each full heartbeat over its interval: if all of its datagrams left at
-# once, they would fill the queue of the link, here or at the receiver, and the
-# same peers would miss each heartbeat.
+# Number of datagrams that an entry sends at once.  The entries of a large
+# fleet spread each full heartbeat over its interval: if all datagrams left at
+# once, they would fill the queue of the link, here or at the receiver, and
+# the same peers would miss each heartbeat.
 DATAGRAMS_PER_BURST = 16
 # Minimum number of entries of a large fleet.  In a large fleet, a message
 # that only some entries need is sent to those entries only.
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -42,7 +42,6 @@
 # Time for which a draining entry accepts new connections, since callers use
 # directory replies for this time that still list the entry.
 ACCEPT_WHILE_DRAINING_S = 2.5
-DRAIN_POLL_INTERVAL_S = 0.05
 
 app = cyclopts.App(
     name="dogwoodwheel-entry",
@@ -144,13 +143,16 @@
         heartbeats.is_leader = lambda: self.lease.is_held
         self.member.lease = self.lease
         self.member.leader_role = self.leader
+        self._stop_accepting_callers = trio.Event()
+        self._caller_server_ended = trio.Event()
         self.caller_app = app_module.CallerApp(
-            self.components, self.member.is_leaving
+            self.components,
+            self.member.is_leaving,
+            self._stop_accepting_callers.is_set,
         )
         self.status_app = app_module.StatusApp(
             self.member.is_ready, self.member.resolve, self.metrics
         )
-        self._stop_accepting_callers = trio.Event()
         self._caller_server_config = _make_server_config([cfg.front])
         self._caller_server_config.graceful_timeout = cfg.grace_s
 
@@ -186,8 +188,8 @@
             await self.components.heartbeats.send_heartbeat()
             await trio.sleep_until(started_at + ACCEPT_WHILE_DRAINING_S)
             self._stop_accepting_callers.set()
-            while self.caller_app.running_requests:
-                await trio.sleep(DRAIN_POLL_INTERVAL_S)
+            # Until all connections are closed, a request may still arrive.
+            await self._caller_server_ended.wait()
         logger.info(
             "stop: drain ended", running=self.caller_app.running_requests
         )
@@ -200,6 +202,7 @@
             task_status=task_status,
             mode="asgi",
         )
+        self._caller_server_ended.set()
 
     async def _serve_status(self, task_status):
         cfg = self.cfg
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -180,6 +180,27 @@
     And "one" ends with code 0
     And within 3 s the directory of "two" names only "two"
 
+  Scenario: An entry is stopped while many callers send requests
+    Given the entries "one" and "two"
+    And the plain workers take 0.05 s for each request
+    When 12 callers post to "one" without a pause, and it gets SIGTERM
+    Then each request that was passed on is answered whole
+    And "one" ends with code 0
+
+  Scenario: A stream sends a byte now and then
+    Given the entry "one"
+    And the next request at each engine meets "trickle"
+    When a caller who waits 1500 ms asks at "/draft/a" for a stream of "m0"
+    Then its answer is cut after event 2
+    And it was held for less than 2000 ms
+    And no engine is still at work on it
+
+  Scenario: A slow stream is sound
+    Given the entry "one"
+    And the engines take 0.5 s for each event
+    When a caller asks for a stream of "m0"
+    Then it gets the events 1 to 6
+
   Scenario: A caller leaves
     Given the entry "one"
     And the engines take 0.5 s for each event
--- a/features/standins/worker.py
+++ b/features/standins/worker.py
@@ -43,10 +43,12 @@
     "endless_head",
     "endless_interim",
     "endless_body",
+    "trickle",
     "break",
     "skip",
 )
 EVENTS = 6
+TRICKLE_S = 0.05
 LATE_ORDER_S = 1.0
 
 
@@ -302,6 +304,9 @@
         for number in range(first, EVENTS + 1):
             if fault == "skip" and number == 3:
                 continue
+            if fault == "trickle" and number == 3:
+                await self._trickle(exchange)
+                return
             if fault == "break" and number == 4:
                 await exchange.data(b"id: 4\nda")
                 exchange.cut()
@@ -310,6 +315,15 @@
             await trio.sleep(self.pace_s)
         await exchange.end()
 
+    async def _trickle(self, exchange):
+        """Send a byte now and then, but no event, until the caller closes."""
+        try:
+            while True:
+                await exchange.data(b":")
+                await trio.sleep(TRICKLE_S)
+        finally:
+            self.history.add("closed_by_caller", at=time.time())
+
 
 async def main(args):
     """Serve until the process ends."""
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -3,7 +3,9 @@
 import http.client
 import json
 import re
+import threading
 import time
+import uuid
 
 from behave import given
 from behave import then
@@ -17,6 +19,10 @@
 PLAIN = ("p1", "p2")
 EVENT = re.compile(rb"id: (\d+)\ndata: \d+\n\n")
 LEASE_S = 3.0
+# Time that callers send before an entry is stopped, and in which any of their
+# requests must end.
+LOAD_S = 1.0
+ANSWER_S = 10.0
 SIGNED = "x-server-seal"
 
 
@@ -395,6 +401,103 @@
     conn.close()
 
 
+@given("the plain workers take {s:g} s for each request")
+def step_plain_delay(context, s):
+    for name in PLAIN:
+        context.fleet.workers[name].call("set", delay_s=s)
+
+
+def post_until_stopped(address, kept, outcomes):
+    """Post again and again; note each request that got no whole answer.
+
+    Notes
+    -----
+    Half of the callers keep their connection for as long as they may.
+    """
+    conn = None
+    while True:
+        request_id = uuid.uuid4().hex[:16]
+        fields = {
+            "Host": entry_builders.HOST,
+            "X-Request-Id": request_id,
+            "X-Request-Deadline": "4000",
+            "Authorization": f"Token {entry_fleet.KEY}",
+        }
+        if conn is None:
+            conn = http.client.HTTPConnection(address, timeout=ANSWER_S)
+            try:
+                conn.connect()
+            except OSError:
+                return
+        try:
+            conn.request("POST", "/orders/1", b"order", fields)
+            reply = conn.getresponse()
+            reply.read()
+            outcomes.append((request_id, reply.status))
+            closes = reply.getheader("connection", "") == "close"
+        except (OSError, http.client.HTTPException) as exc:
+            outcomes.append((request_id, repr(exc)))
+            closes = True
+        if closes or not kept:
+            conn.close()
+            conn = None
+
+
+@when(
+    '{count:d} callers post to "{name}" without a pause, and it gets SIGTERM'
+)
+def step_stop_under_load(context, count, name):
+    context.outcomes = []
+    address = context.fleet.front(name)
+    threads = [
+        threading.Thread(
+            target=post_until_stopped,
+            args=(address, n % 2 == 0, context.outcomes),
+        )
+        for n in range(count)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(LOAD_S)
+    context.fleet.proc(name).terminate()
+    for thread in threads:
+        thread.join(ANSWER_S)
+        assert not thread.is_alive()
+
+
+@then("each request that was passed on is answered whole")
+def step_none_lost(context):
+    passed_on = {e["id"] for e in requests(context, PLAIN) if e["ran"]}
+    lost = [
+        (request_id, outcome)
+        for request_id, outcome in context.outcomes
+        if request_id in passed_on and not isinstance(outcome, int)
+    ]
+    assert len(passed_on) > 50, len(passed_on)
+    assert not lost, (len(lost), lost[:3])
+
+
+@when(
+    'a caller who waits {ms:d} ms asks at "{path}" for a stream of "{model}"'
+)
+def step_stream_at_within(context, ms, path, model):
+    began = time.monotonic()
+    context.answer = context.fleet.stream(
+        "one", path, model, X_Request_Deadline=ms
+    )
+    context.took_s = time.monotonic() - began
+
+
+@then("no engine is still at work on it")
+def step_no_work(context):
+    def is_closed():
+        return any(
+            context.fleet.history(name, "closed_by_caller") for name in ENGINES
+        )
+
+    process.wait_for(is_closed, 1.0, "the connection to be closed")
+
+
 @then("the stream ends whole")
 def step_whole(context):
     assert numbers(context.answer) == list(range(1, 7)), context.answer
