--- a/dogwoodwheel/entry/endpoint_selection.py
+++ b/dogwoodwheel/entry/endpoint_selection.py
@@ -15,6 +15,7 @@
 
 from dogwoodwheel.entry import cold_start
 from dogwoodwheel.entry import load_balancing
+from dogwoodwheel.entry import load_waits
 from dogwoodwheel.requests import refusals
 
 __all__ = [
@@ -26,25 +27,8 @@
 
 # Minimum time that an endpoint is assumed to need for an answer, seconds.
 MIN_ANSWER_TIME_S = 0.15
-# Time that the order for a model load adds to the load time, seconds.
-ORDER_OVERHEAD_S = 0.3
-# A request is refused if the time that it has waited exceeds its remaining
-# time by more than this, seconds, whatever model load time is expected.
-OVERDUE_MARGIN_S = 0.5
-# A request no longer waits for a model load that takes longer than LONG_LOAD_S
-# and has not begun MAX_LOAD_START_DELAY_S after the request began to wait.
-LONG_LOAD_S = 2.0
-MAX_LOAD_START_DELAY_S = 0.6
-# A model load that takes this many times its expected time counts as failed.
-MODEL_LOAD_TIMEOUT_FACTOR = 1.5
 # Time to load an adapter, seconds.
 ADAPTER_LOAD_S = 0.05
-# Retry-After if other models must be loaded before the requested model,
-# seconds; about half the duration of a load from the weight store.
-LOADS_PENDING_RETRY_AFTER_S = 3.0
-# Minimum Retry-After, seconds.  Also sent if the time at which an endpoint can
-# take the request is unknown.
-MIN_RETRY_AFTER_S = 0.5
 # Maximum time between two attempts to select an endpoint, seconds.
 MAX_POLL_INTERVAL_S = 0.25
 
@@ -116,9 +100,8 @@
         began_at = trio.current_time()
         while True:
             waited_s = trio.current_time() - began_at
-            wait_s = max(
-                _expected_wait_s(components, requirements, waited_s),
-                waited_s - OVERDUE_MARGIN_S,
+            wait_s = load_waits.time_needed_s(
+                _expected_wait_s(components, requirements, waited_s), waited_s
             )
             left_s = (
                 requirements.deadline - trio.current_time() - MIN_ANSWER_TIME_S
@@ -292,11 +275,6 @@
 
     The time is in seconds, or infinite if no endpoint is expected to take
     the request, which has already waited for `waited_s` seconds.
-
-    Notes
-    -----
-    A load from the weight store that does not begin soon after the request
-    is unlikely to begin in time, since loads of other models precede it.
     """
     usable = components.fleet_state.usable_endpoints(requirements.service.name)
     if not usable:
@@ -314,41 +292,40 @@
     )
     if is_loaded:
         return ADAPTER_LOAD_S if requirements.request_headers.adapter else 0.0
-    load_s = min_load_s(
-        components.fleet_state,
-        requirements.service,
-        requirements.request_headers.model,
-    )
     loading_since = components.fleet_state.loading_since(
         requirements.request_headers.model
     )
-    elapsed_s = (
-        0.0 if loading_since is None else trio.current_time() - loading_since
+    return load_waits.expected_load_s(
+        load_waits.ModelLoad(
+            load_s=min_load_s(
+                components.fleet_state,
+                requirements.service,
+                requirements.request_headers.model,
+            ),
+            elapsed_s=(
+                None
+                if loading_since is None
+                else trio.current_time() - loading_since
+            ),
+        ),
+        waited_s,
     )
-    if (
-        loading_since is not None
-        and elapsed_s < MODEL_LOAD_TIMEOUT_FACTOR * load_s + ORDER_OVERHEAD_S
-    ):
-        return max(0.0, load_s - elapsed_s)
-    is_too_late = waited_s > MAX_LOAD_START_DELAY_S and load_s > LONG_LOAD_S
-    return math.inf if is_too_late else load_s + ORDER_OVERHEAD_S
 
 
 def _no_endpoint_refusal(components, requirements, wait_s):
     if requirements.request_headers.model:
-        if wait_s == math.inf:
-            wait_s = LOADS_PENDING_RETRY_AFTER_S
+        retry_after_s = load_waits.retry_after_s(wait_s)
         return refusals.refused(
             "no_replica",
             f"{requirements.model_and_adapter} is at no endpoint and takes "
-            f"{wait_s:.1f} s to load; come back then",
+            f"{retry_after_s:.1f} s to load; come back then",
             503,
-            retry_after_s=max(wait_s, MIN_RETRY_AFTER_S),
+            retry_after_s=retry_after_s,
         )
     return refusals.refused(
         "no_endpoint",
         f"no endpoint of {requirements.service.name} may receive work; "
         f"come back",
         503,
-        retry_after_s=MIN_RETRY_AFTER_S,
+        retry_after_s=load_waits.MIN_RETRY_AFTER_S,
     )
