Load rare models that were asked for and not served first

Cause: a request for a model without copies counts for the 0.6 s that it waits and in averages that fade.

Change: each request that a model without replicas got since it was last at an engine counts as one that waits, 12 at most, until it is served.

The scenario fails without it.

--- a/dogwoodwheel/entry/leader.py
+++ b/dogwoodwheel/entry/leader.py
@@ -63,6 +63,8 @@
         self._load_permits = 0.0
         self._refilled_at = None
         self._adapter_ordered_at = {}
+        # Request totals at which each model was last seen at an engine.
+        self._served_totals = {}
         self._engines_awaiting_report = set()
         self._changed_engines = set()
 
@@ -234,6 +236,7 @@
                 self._waiting_requests(),
                 self.request_rates.has_requests,
                 self.request_rates.long_term_rates(),
+                self._unserved_requests(service.engine, engine_views),
             )
             self._order_adapters(
                 nursery, service.engine, engines, engine_views, demand
@@ -321,6 +324,18 @@
             preloaded_models=frozenset(engine.preloaded_models),
         )
 
+    def _unserved_requests(self, spec, engine_views):
+        """Return the requests since each absent model was last held."""
+        totals = self.request_rates.request_totals
+        for view in engine_views:
+            for name in view.models:
+                self._served_totals[name] = totals[name]
+        return {
+            name: totals[name] - self._served_totals.setdefault(name, 0)
+            for name in spec.models
+            if totals[name] != self._served_totals.get(name, 0)
+        }
+
     def _waiting_requests(self):
         counts = collections.Counter(self.components.request_counts.waiting)
         for peer in self.components.heartbeats.live_peers().values():
--- a/dogwoodwheel/entry/planner.py
+++ b/dogwoodwheel/entry/planner.py
@@ -60,6 +60,10 @@
 MAX_WEIGHT_STORE_FRACTION = 0.27
 # Time over which the requests are counted that a model load may serve, s.
 VALUE_HORIZON_S = 10.0
+# Value of a request that was not served since a model lost its last replica,
+# and the maximum number of such requests that count.
+UNSERVED_VALUE = 1.0
+MAX_UNSERVED = 12
 # Value of a request beyond the capacity of a model's replicas, which is served
 # late, relative to a request for a model without replicas.
 BUSY_VALUE = 0.1
@@ -126,6 +130,9 @@
         Requests a second by model, over all entries.
     waiting : dict of str to int
         Number of waiting requests by ``MODEL`` or ``MODEL/ADAPTER``.
+    unserved : dict of str to int
+        Number of requests for each model without replicas since the model
+        was last seen at an engine.
     has_seen_requests : bool
         Whether any entry has received a request.
     long_term_rates : dict of str to float
@@ -137,6 +144,7 @@
     waiting: dict
     has_seen_requests: bool = True
     long_term_rates: dict = dataclasses.field(default_factory=dict)
+    unserved: dict = dataclasses.field(default_factory=dict)
 
     def level(self, name):
         """Return a model's request rate (per second) plus waiting requests."""
@@ -263,10 +271,19 @@
                 yield name, PRELOAD
 
     def expected_requests(self, name):
-        """Return how many requests a load of a model is expected to serve."""
+        """Return how many requests a load of a model is expected to serve.
+
+        Notes
+        -----
+        Workload: many rarely requested models without copies.  Each has one
+        request at a time, so those that were refused before go first.
+        """
         rates = self.demand.request_rates, self.demand.long_term_rates
-        return self.demand.waiting.get(name, 0) + sum(
-            VALUE_HORIZON_S / 2 * r.get(name, 0.0) for r in rates
+        unserved = min(MAX_UNSERVED, self.demand.unserved.get(name, 0))
+        return (
+            self.demand.waiting.get(name, 0)
+            + sum(VALUE_HORIZON_S / 2 * r.get(name, 0.0) for r in rates)
+            + UNSERVED_VALUE * unserved
         )
 
     def excess_rate(self, name):
--- a/dogwoodwheel/entry/rates.py
+++ b/dogwoodwheel/entry/rates.py
@@ -18,11 +18,14 @@
     ----------
     has_requests : bool
         Whether any entry has received a request.
+    request_totals : collections.Counter
+        Number of requests by model since this object was created.
     """
 
     def __init__(self):
         self._short_term_rates = collections.defaultdict(float)
         self._long_term_rates = collections.defaultdict(float)
+        self.request_totals = collections.Counter()
         self._previous_totals = {}
         self._updated_at = None
         self.has_requests = False
@@ -52,6 +55,7 @@
                 new_requests[entry_and_model[1]] += total
             self._previous_totals[entry_and_model] = total
             self.has_requests = True
+        self.request_totals.update(new_requests)
         if self._updated_at is not None and now > self._updated_at:
             elapsed_s = now - self._updated_at
             short_term_decay = 0.5 ** (elapsed_s / SHORT_TERM_HALF_LIFE_S)
--- a/features/entry_placement.feature
+++ b/features/entry_placement.feature
@@ -118,3 +118,10 @@
     And engine "b" fails its requests
     When "m2" is asked for 1 times a second
     Then nothing is unloaded
+
+  Scenario: A rare model was refused often, and another one is asked for now
+    Given engines "a" with "m0 m1 m2" and "b" with "m1 m2 m3"
+    And 8 requests for "m4" were not served
+    When 1 request waits for each of "m4 m5"
+    And 1 load from the weight store may begin
+    Then the plan loads "m4"
--- a/features/steps/entry_placement_steps.py
+++ b/features/steps/entry_placement_steps.py
@@ -31,6 +31,7 @@
     }
     context.rates = {}
     context.waiting = {}
+    context.unserved = {}
     context.store_loads = 2
     context.was_held = set()
 
@@ -60,6 +61,11 @@
     change(context, name, busy=True)
 
 
+@given('{count:d} requests for "{name}" were not served')
+def step_unserved(context, count, name):
+    context.unserved[name] = count
+
+
 @given('engine "{name}" fails its requests')
 def step_fails(context, name):
     change(context, name, failing=True)
@@ -102,7 +108,9 @@
 
 
 def plan(context):
-    demand = planner.Demand(context.rates, context.waiting)
+    demand = planner.Demand(
+        context.rates, context.waiting, unserved=context.unserved
+    )
     return planner.plan(
         context.spec,
         list(context.views.values()),
