Log a prompt's parts and the events received with each attempt

The attempt lines could not tell a request that crashes engines from engines that crash of load: neither the parts of the prompt nor the number of events were logged.

No feature: the change adds fields to a log line and decides nothing.

--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -223,7 +223,11 @@
                 load=endpoint_load.requests,
                 load_tokens=endpoint_load.tokens,
                 since_ms=round((began - admitted.incoming.received_at) * 1000),
+                prefix=",".join(
+                    name for name, _ in admitted.request_headers.prompt_prefix
+                ),
                 outcome=outcome,
+                events=self.splitter.event_count if self.splitter else 0,
                 took_ms=round((trio.current_time() - began) * 1000),
                 left_ms=round(time_left_s * 1000),
                 config=self.components.fleet_state.config.version,
