--- a/features/standins/server.py
+++ b/features/standins/server.py
@@ -107,14 +107,27 @@
         self.streams = set()
         self.close_before_read = 0
         self.close_after_read = 0
+        self._down_s = 0.0
+        self._serving = None
 
     async def serve(self, address, task_status=trio.TASK_STATUS_IGNORED):
-        """Accept connections for ever."""
+        """Accept connections for ever, but for the time after a crash."""
         host, _, port = address.rpartition(":")
-        listeners = await trio.open_tcp_listeners(int(port), host=host)
-        await trio.serve_listeners(
-            self._accept, listeners, task_status=task_status
-        )
+        while True:
+            listeners = await trio.open_tcp_listeners(int(port), host=host)
+            with trio.CancelScope() as self._serving:
+                await trio.serve_listeners(
+                    self._accept, listeners, task_status=task_status
+                )
+            task_status = trio.TASK_STATUS_IGNORED
+            for listener in listeners:
+                await listener.aclose()
+            await trio.sleep(self._down_s)
+
+    def crash(self, down_s):
+        """Close all connections, and refuse new ones for some seconds."""
+        self._down_s = down_s
+        self._serving.cancel()
 
     def cut(self):
         """Reset every connection; return their number."""
--- a/features/standins/worker.py
+++ b/features/standins/worker.py
@@ -91,6 +91,8 @@
         self.accepted = 0
         self.token = 0
         self.delay_s = 0.0
+        self.poison = None
+        self.crash = None
         self.nursery = None
         self.connections = set()
 
@@ -109,8 +111,14 @@
                 raise ValueError(f"kind must be one of {FAULTS}")
         self.faults.extend(kinds)
 
-    def set(self, delay_s=None, lost_orders=None, pace_s=None):
-        """Set the time of a request, or orders that get no answer."""
+    def set(self, delay_s=None, lost_orders=None, pace_s=None, poison=None):
+        """Set the time of a request, orders without an answer, or poison.
+
+        Poison is a section of prompts and the seconds for which the worker
+        is down after it has begun to answer a prompt with that section.
+        """
+        if poison is not None:
+            self.poison = poison
         if delay_s is not None:
             self.delay_s = delay_s
         if pace_s is not None:
@@ -301,6 +309,11 @@
                 ("transfer-encoding", "chunked"),
             ],
         )
+        if self._is_poisoned(exchange):
+            self.history.add(
+                "crash", id=exchange.headers["x-request-id"], at=time.time()
+            )
+            self.crash(self.poison[1])
         for number in range(first, EVENTS + 1):
             if fault == "skip" and number == 3:
                 continue
@@ -315,6 +328,12 @@
             await trio.sleep(self.pace_s)
         await exchange.end()
 
+    def _is_poisoned(self, exchange):
+        sections = exchange.headers.get("x-prompt-prefix", "").split(",")
+        return self.poison is not None and self.poison[0] in {
+            section.partition(":")[0] for section in sections[:-1]
+        }
+
     async def _trickle(self, exchange):
         """Send a byte now and then, but no event, until the caller closes."""
         try:
@@ -329,7 +348,9 @@
     """Serve until the process ends."""
     models = args.models.split(",") if args.models else []
     worker = Worker(args.name, models, args.load_s, args.pace_s)
-    serve = functools.partial(server.Server(worker.handle).serve, args.address)
+    http_server = server.Server(worker.handle)
+    worker.crash = http_server.crash
+    serve = functools.partial(http_server.serve, args.address)
     async with trio.open_nursery() as nursery:
         worker.nursery = nursery
         await control.run(args.control, worker.commands(), serve)
