Quarantine prompt sections that crash engines

Callers saw streams cut and refusals for many seconds: a request with one part of its prompt crashed an engine, its retry the next one, and every new request with the part another two. Each crash broke off 2 to 18 requests.

Cause: failures were charged to endpoints only. Ruled out: load, model, caller and first part, all of which were answered in between.

Entries now share the crashes they see and the prompts in flight; the section that explains the crashes best is refused with 503 until it is forgotten, for twice as long after each relapse. An answer clears a section. A request whose engine crashed as its answer began is not sent again. A break is a crash only if the VM refuses a connection, so that resets, cuts and power losses convict nothing.

--- a/dogwoodwheel/engines/http.py
+++ b/dogwoodwheel/engines/http.py
@@ -242,6 +242,24 @@
         while idle_connections:
             await idle_connections.pop().aclose()
 
+    async def refuses_connections(self, address, timeout_s):
+        """Return whether an endpoint's VM is up but nothing listens there.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:PORT`` of the endpoint.
+        timeout_s : float
+            Maximum time for opening a connection, seconds.
+        """
+        self.opened_connections += 1
+        try:
+            conn = await connections.Connection.connect(address, timeout_s)
+        except exceptions.NotSentError as exc:
+            return isinstance(exc.__cause__, ConnectionRefusedError)
+        await conn.aclose()
+        return False
+
     def idle_addresses(self):
         """Return the addresses to which there may be idle connections."""
         return tuple(self._idle_connections)
--- a/dogwoodwheel/entry/components.py
+++ b/dogwoodwheel/entry/components.py
@@ -9,6 +9,8 @@
 from dogwoodwheel.entry import heartbeats as heartbeats_module
 from dogwoodwheel.entry import load_balancing
 from dogwoodwheel.entry import outliers as outliers_module
+from dogwoodwheel.entry import prompt_guard
+from dogwoodwheel.entry import query_of_death
 from dogwoodwheel.entry import quota as quota_module
 from dogwoodwheel.entry import request_counts as request_counts_module
 from dogwoodwheel.entry import retry_budget as retry_budget_module
@@ -31,6 +33,9 @@
     quotas : dogwoodwheel.entry.quota.CustomerQuotas
     retry_budget : dogwoodwheel.entry.retry_budget.RetryBudget
     outlier_detector : dogwoodwheel.entry.outliers.OutlierDetector
+    query_of_death_detector : \
+            dogwoodwheel.entry.query_of_death.QueryOfDeathDetector
+    crash_checker : dogwoodwheel.entry.prompt_guard.CrashChecker
     cold_limiter : dogwoodwheel.entry.cold_start.ColdEndpointLimiter
     request_counts : dogwoodwheel.entry.request_counts.RequestCounts
     http_client : dogwoodwheel.engines.http.HttpClient
@@ -49,6 +54,8 @@
     quotas: object
     retry_budget: object
     outlier_detector: object
+    query_of_death_detector: object
+    crash_checker: object
     cold_limiter: object
     request_counts: object
     http_client: object
@@ -72,6 +79,10 @@
                 settings.retry_window_s,
             ),
             outlier_detector=outliers_module.OutlierDetector(),
+            query_of_death_detector=query_of_death.QueryOfDeathDetector(
+                metrics.count_quarantine
+            ),
+            crash_checker=prompt_guard.CrashChecker(http_client),
             cold_limiter=cold_start.ColdEndpointLimiter(),
             request_counts=request_counts_module.RequestCounts(),
             http_client=http_client,
--- a/dogwoodwheel/entry/membership.py
+++ b/dogwoodwheel/entry/membership.py
@@ -122,6 +122,9 @@
         entry_settings = components.settings
         fleet_state = components.fleet_state
         self._heartbeat_id += 1
+        crashes, sound_sections = components.query_of_death_detector.report(
+            trio.current_time()
+        )
         return messages.EntryBeat(
             id=self._heartbeat_id,
             name=entry_settings.name,
@@ -145,6 +148,8 @@
             waiting=dict(components.request_counts.waiting),
             lease=self.lease.claim(),
             holdings=self.leader_role.loaded_models_by_engine(brief),
+            crashes=crashes,
+            sound_sections=sound_sections,
         )
 
     def _peer_addresses(self):
@@ -198,6 +203,9 @@
         components.outlier_detector.record_peer_outcomes(
             heartbeat.outcomes, now, heartbeat.zone == components.settings.zone
         )
+        components.query_of_death_detector.record_peer_report(
+            heartbeat.crashes, heartbeat.sound_sections, now
+        )
         components.fleet_state.peer_operator_version = max(
             components.fleet_state.peer_operator_version,
             heartbeat.operator_row,
--- /dev/null
+++ b/dogwoodwheel/entry/prompt_guard.py
@@ -0,0 +1,162 @@
+"""Reports what a request shows about its prompt, and refuses bad prompts.
+
+Notes
+-----
+Workload: as for `query_of_death`.  An attempt that breaks off counts as a
+crash only if the endpoint's VM then refuses a connection: an endpoint that
+resets single connections, a cut link and a VM without power do not.
+"""
+
+from loguru import logger
+import trio
+
+from dogwoodwheel.entry import query_of_death
+from dogwoodwheel.requests import refusals
+
+__all__ = ["CrashChecker", "PromptGuard"]
+
+CONNECT_TIMEOUT_S = 0.4
+# Time for which the result of a check holds for other broken attempts.
+RESULT_MAX_AGE_S = 0.5
+
+
+class CrashChecker:
+    """Finds out whether the process of an endpoint has ended.
+
+    Parameters
+    ----------
+    http_client : dogwoodwheel.engines.http.HttpClient
+    """
+
+    def __init__(self, http_client):
+        self._http_client = http_client
+        self._results = {}
+
+    async def has_crashed(self, endpoint):
+        """Return whether an endpoint refuses connections."""
+        now = trio.current_time()
+        checked_at, has_crashed = self._results.get(endpoint.id, (now, None))
+        if has_crashed is None or now - checked_at > RESULT_MAX_AGE_S:
+            self._results = {
+                name: result
+                for name, result in self._results.items()
+                if now - result[0] <= RESULT_MAX_AGE_S
+            }
+            has_crashed = await self._http_client.refuses_connections(
+                endpoint.address, CONNECT_TIMEOUT_S
+            )
+            self._results[endpoint.id] = (now, has_crashed)
+        return has_crashed
+
+
+class PromptGuard:
+    """Watches the attempts of one request.
+
+    Parameters
+    ----------
+    components : dogwoodwheel.entry.components.Components
+    request_headers : dogwoodwheel.platform.http_headers.RequestHeaders
+    """
+
+    def __init__(self, components, request_headers):
+        self._components = components
+        self._id = request_headers.id
+        self._sections = request_headers.shared_sections
+        self._has_begun = False
+        self._event_count = 0
+        self._first_event_at = None
+
+    def check(self):
+        """Refuse a request whose prompt has a quarantined section.
+
+        Raises
+        ------
+        RefusedError
+            The caller may come back once the quarantine ends.
+        """
+        now = trio.current_time()
+        detector = self._components.query_of_death_detector
+        quarantine = detector.find_quarantine(self._sections, now)
+        if quarantine is None:
+            return
+        raise refusals.refused(
+            "prompt_quarantined",
+            f"section {quarantine.section} of the prompt crashed "
+            f"{len(quarantine.endpoints)} engines; change the prompt, or "
+            f"come back",
+            503,
+            retry_after_s=quarantine.expires_at - now,
+        )
+
+    def begin_attempt(self):
+        """Note that the request is sent to an endpoint."""
+        self._has_begun = False
+        self._event_count = 0
+        self._first_event_at = None
+
+    def record_head(self):
+        """Note that the endpoint has begun an answer."""
+        self._has_begun = True
+
+    def record_events(self, count):
+        """Note the number of events that this attempt has received."""
+        if not count or not self._sections:
+            return
+        if self._first_event_at is None:
+            self._first_event_at = trio.current_time()
+        was_sound = self._event_count >= query_of_death.SOUND_EVENTS
+        self._event_count = count
+        if count >= query_of_death.SOUND_EVENTS and not was_sound:
+            self._record_sound()
+
+    def record_end(self):
+        """Note that the answer is complete."""
+        if self._first_event_at is None:
+            self._first_event_at = trio.current_time()
+        if self._event_count < query_of_death.SOUND_EVENTS:
+            self._record_sound()
+
+    def _record_sound(self):
+        self._components.query_of_death_detector.record_sound(
+            self._sections, self._first_event_at
+        )
+
+    async def record_break(self, endpoint):
+        """Report an attempt that broke off, if the endpoint crashed.
+
+        Parameters
+        ----------
+        endpoint : dogwoodwheel.entry.datatypes.Endpoint
+
+        Returns
+        -------
+        bool
+            Whether this request is likely to crash the next endpoint: the
+            answer had just begun, and not all sections are known as sound.
+        """
+        if (
+            not self._sections
+            or self._event_count >= query_of_death.SOUND_EVENTS
+            or not await self._components.crash_checker.has_crashed(endpoint)
+        ):
+            return False
+        now = trio.current_time()
+        detector = self._components.query_of_death_detector
+        has_begun = self._has_begun and not self._event_count
+        is_known_sound = detector.is_sound(
+            self._sections, now - query_of_death.CRASH_MAX_AGE_S
+        )
+        self._components.metrics.count_crash_suspect()
+        logger.info(
+            "query of death: suspected",
+            id=self._id,
+            endpoint=endpoint.id,
+            sections=",".join(self._sections),
+            begun=self._has_begun,
+            events=self._event_count,
+            known_sound=is_known_sound,
+        )
+        detector.record_crash(endpoint.id, self._sections, has_begun, now)
+        if has_begun:
+            self._components.heartbeats.send_soon()
+        return has_begun and not is_known_sound
--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -8,6 +8,7 @@
 from dogwoodwheel.entry import endpoint_selection
 from dogwoodwheel.entry import events
 from dogwoodwheel.entry import load_balancing
+from dogwoodwheel.entry import prompt_guard
 from dogwoodwheel.entry import quota
 from dogwoodwheel import exceptions
 from dogwoodwheel.platform import http_headers
@@ -76,6 +77,11 @@
         self.endpoint_full = False
         # Whether the next attempt is not charged to the retry budget.
         self.free_retry = False
+        # Whether the request may have crashed an endpoint.
+        self.is_crash_suspect = False
+        self.prompt_guard = prompt_guard.PromptGuard(
+            components, admitted.request_headers
+        )
         self.splitter = None
         self.weights_version = b""
         self.mark_prompt_processed = None
@@ -106,6 +112,7 @@
                 admitted.request_headers.model, trio.current_time()
             )
         failure = None
+        self.prompt_guard.check()
         while True:
             tracked_endpoint = None
             if failure is not None:
@@ -121,6 +128,8 @@
             if tracked_endpoint is None:
                 tracked_endpoint = await self._select_endpoint(failure)
             self.endpoint_full = False
+            # The prompt may have been quarantined while the request waited.
+            self._check_prompt(failure)
             failure = await self._attempt(tracked_endpoint)
             if failure is None:
                 return
@@ -141,8 +150,19 @@
                 raise failure from exc
             raise
 
+    def _check_prompt(self, failure):
+        """Refuse a quarantined prompt, or raise the failure if it ran."""
+        try:
+            self.prompt_guard.check()
+        except exceptions.RefusedError as exc:
+            if self.may_have_run:
+                raise failure from exc
+            raise
+
     def _check_retry(self, failure):
         """Raise the failure of the last attempt unless a retry is allowed."""
+        if self.is_crash_suspect:
+            raise failure
         route = self.admitted.route
         is_safe = not self.may_have_run or route.is_retryable
         in_limit = self.not_run_count < MAX_NOT_RUN and self.attempts < max(
@@ -258,6 +278,7 @@
         endpoint_id = endpoint.id
         ran_before = self.may_have_run
         self.may_have_run = True
+        self.prompt_guard.begin_attempt()
         silence_scope = trio.CancelScope()
         try:
             with silence_scope:
@@ -280,6 +301,9 @@
             self.components.record_outcome(endpoint_id, False)
             if self.splitter is not None:
                 self.splitter.reset()
+            self.is_crash_suspect = await self.prompt_guard.record_break(
+                endpoint
+            )
             return f"broken: {exc}", self._attempt_error(str(exc))
         # `silence_scope` was cancelled, since no reply came in time.
         self.attempts += 1
@@ -324,6 +348,7 @@
             b"content-encoding"
         ):
             raise exceptions.ReplyError("a reply without a valid signature")
+        self.prompt_guard.record_head()
         if self.splitter is not None:
             await self._relay_stream(reply, silence_scope)
         else:
@@ -335,6 +360,7 @@
                 )
             )
         self.components.record_outcome(endpoint.id, True)
+        self.prompt_guard.record_end()
         return "ok", None
 
     async def _handle_not_run(self, endpoint, reply):
@@ -392,8 +418,12 @@
                 silence_scope.deadline = float("inf")
                 await caller.send(data)
 
+        events_before = splitter.event_count
         async for chunk in reply.iter_chunks(send_pending_events):
             pending_events += splitter.feed(chunk)
+            self.prompt_guard.record_events(
+                splitter.event_count - events_before
+            )
         if splitter.has_partial_event:
             raise exceptions.ReplyError("a stream ended within an event")
         await send_pending_events()
--- a/dogwoodwheel/platform/http_headers.py
+++ b/dogwoodwheel/platform/http_headers.py
@@ -80,6 +80,11 @@
     resumes_stream: bool = False
     last_event_id: int = 0
 
+    @property
+    def shared_sections(self):
+        """Names of the sections that other prompts may share, in order."""
+        return tuple(name for name, _ in self.prompt_prefix[:-1])
+
 
 def decode(headers):
     """Return the `RequestHeaders` of a caller's request.
--- a/dogwoodwheel/programs/metrics.py
+++ b/dogwoodwheel/programs/metrics.py
@@ -56,6 +56,8 @@
     "decisions_total": "Decisions on replicas that were recorded.",
     "conflicts_total": "Commits refused for another's earlier write.",
     "orders_total": "Orders to endpoints, by kind.",
+    "crash_suspects_total": "Requests in flight as an engine crashed.",
+    "quarantines_total": "Prompt sections that were quarantined.",
 }
 GAUGES = {
     "shares": "Partitions of the customers' rates that are held.",
@@ -145,6 +147,14 @@
         """Count an order to an endpoint, such as ``load``."""
         self._metrics["orders_total"].inc({"kind": kind})
 
+    def count_crash_suspect(self):
+        """Count a request that was in flight as an engine crashed."""
+        self._metrics["crash_suspects_total"].inc({})
+
+    def count_quarantine(self):
+        """Count a prompt section that was quarantined."""
+        self._metrics["quarantines_total"].inc({})
+
     def set_shares(self, number):
         """Set the number of partitions of the rates that this entry owns."""
         self._metrics["shares"].set({}, number)
--- a/dogwoodwheel/wire/messages.py
+++ b/dogwoodwheel/wire/messages.py
@@ -344,6 +344,12 @@
         By endpoint, sent by the lease holder only: age of the engine's
         report in seconds, loaded models with adapters, and the model
         being loaded.  Some heartbeats only list engines that changed.
+    crashes : tuple of (str, float, tuple)
+        Crashes of engines: endpoint, age in seconds, and pairs of evidence
+        and the prompt sections it is held against.
+    sound_sections : dict of str to float
+        By section of these crashes: seconds since this entry passed on an
+        answer to it.
     """
 
     id: int
@@ -366,6 +372,8 @@
     waiting: dict = dataclasses.field(default_factory=dict)
     lease: tuple = None
     holdings: dict = dataclasses.field(default_factory=dict)
+    crashes: tuple = ()
+    sound_sections: dict = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/features/query_of_death_decisions.feature
@@ -0,0 +1,53 @@
+Feature: What entries conclude from crashes of engines, without sockets
+
+  Scenario Outline: Requests with a section that crashes engines
+    Given <entries> entries that send heartbeats every <beat> s, <lost> of them lost
+    And <engines> engines with <sound> sound requests a second
+    When <poison> requests a second with the section come for <time> s
+    Then at most 3 of them are sent later than 3 s after the fifth crash
+    And fewer than 0.02 of the sound requests are refused
+    And 5 s after the last crash no sound request is refused
+
+    Examples:
+      | entries | beat | lost | engines | sound | poison | time |
+      | 7       | 0.25 | 0    | 9       | 5     | 0.2    | 60   |
+      | 7       | 0.25 | 0.3  | 9       | 5     | 4      | 60   |
+      | 61      | 0.8  | 0.1  | 45      | 60    | 4      | 40   |
+      | 300     | 3.75 | 0.1  | 70      | 60    | 15     | 20   |
+
+  Scenario: An entry is frozen as engines crash, and another one is restarted
+    Given 7 entries that send heartbeats every 0.25 s, 0 of them lost
+    And 9 engines with 5 sound requests a second
+    And entry 0 is frozen from 1 s to 20 s, and entry 1 is restarted at 20 s
+    When 2 requests a second with the section come for 60 s
+    Then from 21 s on none of them is sent
+
+  Scenario: The section is known to be sound before it begins to crash engines
+    Given the section "a" with an answer at 1 s
+    When it crashes engines at 2 s and at 3 s
+    Then "a" is quarantined at 3.5 s
+
+  Scenario: An answer proves a suspected section sound
+    Given the section "a" with an answer at 1 s
+    When it crashes engines at 2 s and at 3 s
+    And an answer to the section "a" comes at 4 s
+    Then nothing is quarantined at 4.5 s
+
+  Scenario: Many engines crash at once for another reason
+    When 20 engines crash at once, each with 8 requests in flight
+    Then nothing is quarantined at 1.5 s
+
+  Scenario: A section that crashes engines again after its quarantine
+    When the section "a" crashes engines at 2 s and at 3 s
+    Then "a" is quarantined at 62 s
+    And nothing is quarantined at 64 s
+    When the section "a" crashes an engine at 65 s
+    Then "a" is quarantined at 180 s
+    And nothing is quarantined at 186 s
+
+  Scenario: Two sections that always come together, until one comes alone
+    When the prompt "b/a" crashes engines at 2 s and at 3 s
+    Then "a" is quarantined at 3.5 s
+    When the prompt "b/c" crashes an engine at 4 s
+    Then "b" is quarantined at 4.5 s
+    And "a" is not quarantined at 4.5 s
--- /dev/null
+++ b/features/steps/query_of_death_replay_steps.py
@@ -0,0 +1,153 @@
+"""Steps that replay queries of death on the decisions of entries."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from dogwoodwheel.entry import query_of_death
+from features import query_of_death_replay
+
+FREE_CRASHES = 5
+
+
+@given(
+    "{count:d} entries that send heartbeats every {beat_s:f} s, "
+    "{loss:g} of them lost"
+)
+def step_entries(context, count, beat_s, loss):
+    context.replay = query_of_death_replay.Fleet(count, beat_s, loss)
+    context.changes = []
+
+
+@given("{count:d} engines with {rate:g} sound requests a second")
+def step_engines(context, count, rate):
+    context.play = query_of_death_replay.Play(context.replay, count, rate, 0)
+
+
+@given(
+    "entry {frozen:d} is frozen from {begin:g} s to {end:g} s, and entry "
+    "{restarted:d} is restarted at {at:g} s"
+)
+def step_disrupted(context, frozen, begin, end, restarted, at):
+    fleet = context.replay
+    context.changes = [
+        (begin, lambda: fleet.frozen.add(frozen)),
+        (end, lambda: fleet.frozen.discard(frozen)),
+        (at, lambda: fleet.restart(restarted)),
+    ]
+
+
+@when("{rate:g} requests a second with the section come for {seconds:d} s")
+def step_requests(context, rate, seconds):
+    play = context.play
+    play.rates[query_of_death_replay.POISON] = rate
+    now = 0.0
+    for at, change in sorted(context.changes, key=lambda item: item[0]):
+        play.run(now, at)
+        change()
+        now = at
+    # The section ends before its quarantine does.
+    play.run(now, seconds - 2.0)
+    context.end = seconds - 2.0
+
+
+@then(
+    "at most {count:d} of them are sent later than {seconds:d} s after "
+    "the fifth crash"
+)
+def step_late(context, count, seconds):
+    crashes = context.play.crashes
+    assert crashes
+    if len(crashes) >= FREE_CRASHES:
+        bound = crashes[FREE_CRASHES - 1] + seconds
+        late = [at for at in context.play.poison_sent if at > bound]
+        assert len(late) <= count, (crashes, late)
+
+
+@then("fewer than {share:g} of the sound requests are refused")
+def step_share(context, share):
+    play = context.play
+    assert play.refused_sound < share * play.sound, (
+        play.refused_sound,
+        play.sound,
+    )
+
+
+@then("{seconds:d} s after the last crash no sound request is refused")
+def step_sound_later(context, seconds):
+    play = context.play
+    play.rates[query_of_death_replay.POISON] = 0.0
+    before = play.refused_sound
+    assert play.crashes[-1] + seconds < context.end
+    play.run(context.end, context.end + seconds)
+    assert play.refused_sound == before, play.refused_sound - before
+
+
+@then("from {seconds:g} s on none of them is sent")
+def step_none_sent(context, seconds):
+    late = [at for at in context.play.poison_sent if at >= seconds]
+    assert context.play.crashes and not late, late
+
+
+def detector(context):
+    """Return the scenario's detector."""
+    if not hasattr(context, "detector"):
+        context.detector = query_of_death.QueryOfDeathDetector()
+    return context.detector
+
+
+@given('the section "{section}" with an answer at {at:g} s')
+@when('an answer to the section "{section}" comes at {at:g} s')
+def step_answer(context, section, at):
+    detector(context).record_sound((section,), at)
+
+
+@when("it crashes engines at {first:g} s and at {second:g} s")
+def step_it_crashes(context, first, second):
+    step_crashes(context, "a", first, second)
+
+
+@when(
+    'the section "{prompt}" crashes engines at {first:g} s and at {last:g} s'
+)
+@when('the prompt "{prompt}" crashes engines at {first:g} s and at {last:g} s')
+def step_crashes(context, prompt, first, last):
+    for at in (first, last):
+        step_crash(context, prompt, at)
+
+
+@when('the section "{prompt}" crashes an engine at {at:g} s')
+@when('the prompt "{prompt}" crashes an engine at {at:g} s')
+def step_crash(context, prompt, at):
+    sections = tuple(prompt.split("/"))
+    detector(context).record_crash(f"engine-{at}", sections, True, at)
+
+
+@when("{count:d} engines crash at once, each with {size:d} requests in flight")
+def step_mass_crash(context, count, size):
+    for engine in range(count):
+        for number in range(size):
+            sections = ("first", f"second-{(engine * size + number) % 46}")
+            detector(context).record_crash(
+                f"engine-{engine}", sections, False, 1.0
+            )
+    # The requests that were broken off are answered elsewhere.
+    for number in range(46):
+        detector(context).record_sound(("first", f"second-{number}"), 1.4)
+
+
+@then('"{section}" is quarantined at {now:g} s')
+def step_quarantined(context, section, now):
+    detector(context).expire(now)
+    assert detector(context).find_quarantine((section,), now)
+
+
+@then('"{section}" is not quarantined at {now:g} s')
+def step_not_quarantined(context, section, now):
+    assert detector(context).find_quarantine((section,), now) is None
+
+
+@then("nothing is quarantined at {now:g} s")
+def step_nothing(context, now):
+    detector(context).expire(now)
+    assert not detector(context).quarantines, detector(context).quarantines
