Log the request rate limit that endpoints name

The attempt lines could not show whether entries knew the limit.

No feature: the change adds a field to a log line and decides nothing.

--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -82,6 +82,8 @@
         self.prompt_guard = prompt_guard.PromptGuard(
             components, admitted.request_headers
         )
+        # Requests per second that the last endpoint named as its limit.
+        self.rate_limit = None
         self.splitter = None
         self.weights_version = b""
         self.mark_prompt_processed = None
@@ -247,6 +249,7 @@
                     name for name, _ in admitted.request_headers.prompt_prefix
                 ),
                 outcome=outcome,
+                limit=self.rate_limit,
                 events=self.splitter.event_count if self.splitter else 0,
                 took_ms=round((trio.current_time() - began) * 1000),
                 left_ms=round(time_left_s * 1000),
@@ -279,6 +282,7 @@
         ran_before = self.may_have_run
         self.may_have_run = True
         self.prompt_guard.begin_attempt()
+        self.rate_limit = None
         silence_scope = trio.CancelScope()
         try:
             with silence_scope:
@@ -339,6 +343,7 @@
 
     async def _handle_reply(self, endpoint, reply, ran_before, silence_scope):
         """Handle a reply; return the outcome for the log, and the failure."""
+        self.rate_limit = http_headers.request_rate_limit(reply)
         if http_headers.was_not_executed(reply):
             self.may_have_run = ran_before
             return await self._handle_not_run(endpoint, reply)
--- a/dogwoodwheel/platform/http_headers.py
+++ b/dogwoodwheel/platform/http_headers.py
@@ -1,6 +1,7 @@
 """Reads and writes the HTTP headers that the platform defines."""
 
 import dataclasses
+import math
 
 from dogwoodwheel.requests import forwarding
 
@@ -10,6 +11,7 @@
     "event_id",
     "for_caller",
     "for_endpoint",
+    "request_rate_limit",
     "reported_request_counts",
     "server_seal",
     "was_not_executed",
@@ -208,6 +210,23 @@
     return reply.status == MISDIRECTED or bool(reply.header(b"x-not-executed"))
 
 
+def request_rate_limit(reply):
+    """Return the limit that an endpoint names in a reply.
+
+    Returns
+    -------
+    float or None
+        Requests per second that the endpoint takes from all entries
+        together; None if the header is absent or no finite number of at
+        least 0.
+    """
+    try:
+        limit = float(reply.header(b"server-limit"))
+    except ValueError:
+        return None
+    return limit if 0.0 <= limit < math.inf else None
+
+
 def reported_request_counts(reply):
     """Return the numbers of requests that an endpoint reports in a reply.
 
