--- a/features/standins/worker.py
+++ b/features/standins/worker.py
@@ -92,6 +92,7 @@
         self.token = 0
         self.delay_s = 0.0
         self.poison = None
+        self.limit = None
         self.crash = None
         self.nursery = None
         self.connections = set()
@@ -111,12 +112,23 @@
                 raise ValueError(f"kind must be one of {FAULTS}")
         self.faults.extend(kinds)
 
-    def set(self, delay_s=None, lost_orders=None, pace_s=None, poison=None):
-        """Set the time of a request, orders without an answer, or poison.
-
+    def set(
+        self,
+        delay_s=None,
+        lost_orders=None,
+        pace_s=None,
+        poison=None,
+        limit=None,
+    ):
+        """Set how the worker treats requests and orders.
+
+        The limit is the number of requests per second that the worker names
+        in its answers; it takes more all the same, and 0 names none.
         Poison is a section of prompts and the seconds for which the worker
         is down after it has begun to answer a prompt with that section.
         """
+        if limit is not None:
+            self.limit = limit or None
         if poison is not None:
             self.poison = poison
         if delay_s is not None:
@@ -220,6 +232,8 @@
             ended=None,
         )
         reply = [("x-request-id", request_id)]
+        if self.limit is not None:
+            reply.append(("server-limit", str(self.limit)))
         if fault == "hang":
             await trio.sleep_forever()
         if fault == "reset":
