Keep requests to endpoints within the limits that they name

Callers saw answers of engines in need slow down further: an engine that named 1 request a second got up to 18 in 4 s where 11 are allowed.

Cause: no entry read the limit; what an endpoint bounds for all callers together was not among the bounds that entries share. Ruled out: retries, as the engine rejected nothing. A limit per entry would not do, since shares of a limit of 1 over seven entries are a seventh of a request.

Each entry now counts the requests of all entries to a limited endpoint in a token bucket, its own at once, its peers' from their heartbeats; the request that takes the last token is told at once. A request waits for a limit until its route's target latency at most and is else refused at once, with the time at which the limits allow it. Limits end with an answer that names none, or with age.

--- a/dogwoodwheel/entry/components.py
+++ b/dogwoodwheel/entry/components.py
@@ -12,6 +12,7 @@
 from dogwoodwheel.entry import prompt_guard
 from dogwoodwheel.entry import query_of_death
 from dogwoodwheel.entry import quota as quota_module
+from dogwoodwheel.entry import rate_limits
 from dogwoodwheel.entry import request_counts as request_counts_module
 from dogwoodwheel.entry import retry_budget as retry_budget_module
 
@@ -36,6 +37,7 @@
     query_of_death_detector : \
             dogwoodwheel.entry.query_of_death.QueryOfDeathDetector
     crash_checker : dogwoodwheel.entry.prompt_guard.CrashChecker
+    endpoint_limits : dogwoodwheel.entry.rate_limits.EndpointLimits
     cold_limiter : dogwoodwheel.entry.cold_start.ColdEndpointLimiter
     request_counts : dogwoodwheel.entry.request_counts.RequestCounts
     http_client : dogwoodwheel.engines.http.HttpClient
@@ -56,6 +58,7 @@
     outlier_detector: object
     query_of_death_detector: object
     crash_checker: object
+    endpoint_limits: object
     cold_limiter: object
     request_counts: object
     http_client: object
@@ -83,6 +86,7 @@
                 metrics.count_quarantine
             ),
             crash_checker=prompt_guard.CrashChecker(http_client),
+            endpoint_limits=rate_limits.EndpointLimits(metrics.count_limit),
             cold_limiter=cold_start.ColdEndpointLimiter(),
             request_counts=request_counts_module.RequestCounts(),
             http_client=http_client,
@@ -130,6 +134,19 @@
             own_load.tokens + sum(load[1] for load in peer_loads_here),
         )
 
+    def waiting_count(self, name):
+        """Return the number of requests that wait, over all entries.
+
+        Parameters
+        ----------
+        name : str
+            ``MODEL``, ``MODEL/ADAPTER`` or service that they wait for.
+        """
+        return self.request_counts.waiting.get(name, 0) + sum(
+            peer.heartbeat.waiting.get(name, 0)
+            for peer in self.heartbeats.live_peers().values()
+        )
+
     def record_outcome(self, endpoint, success):
         """Record whether an endpoint handled a request without failing.
 
@@ -163,6 +180,13 @@
             endpoint, trio.current_time()
         )
 
+    def record_sent(self, endpoint):
+        """Record that a request is sent to an endpoint."""
+        if self.endpoint_limits.record_sent(
+            endpoint, trio.current_time(), self.refill_fraction()
+        ):
+            self.heartbeats.send_soon()
+
     def mark_missing(self, endpoint, model, duration_s):
         """Assume for some seconds that an endpoint does not hold a model."""
         self.missing_models[endpoint, model] = trio.current_time() + duration_s
--- a/dogwoodwheel/entry/endpoint_selection.py
+++ b/dogwoodwheel/entry/endpoint_selection.py
@@ -31,6 +31,12 @@
 ADAPTER_LOAD_S = 0.05
 # Maximum time between two attempts to select an endpoint, seconds.
 MAX_POLL_INTERVAL_S = 0.25
+MIN_POLL_INTERVAL_S = 0.02
+# A request waits for the limits of endpoints until its route's target latency,
+# but for at least this time, seconds.
+MIN_LIMIT_WAIT_S = 0.4
+# Maximum Retry-After of a request that limits hold back, seconds.
+MAX_LIMIT_RETRY_AFTER_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,11 +49,14 @@
     request_headers : dogwoodwheel.platform.http_headers.RequestHeaders
     deadline : float
         Time of trio's clock by which the answer must have begun.
+    target_latency_s : float
+        Time within which the answer should begin, seconds.
     """
 
     service: object
     request_headers: object
     deadline: float
+    target_latency_s: float = math.inf
 
     @property
     def model_and_adapter(self):
@@ -57,6 +66,11 @@
             return f"{request_headers.model}/{request_headers.adapter}"
         return request_headers.model
 
+    @property
+    def waiting_name(self):
+        """Name under which the request is counted while it waits."""
+        return self.model_and_adapter or self.service.name
+
 
 async def wait_for_endpoint(components, requirements, excluded):
     """Wait for an endpoint that can handle a request, and return it.
@@ -93,9 +107,7 @@
             trio.current_time() - components.fleet_state.scanned_at, 1
         ),
     )
-    with components.request_counts.count_waiting(
-        requirements.model_and_adapter or requirements.service.name
-    ):
+    with components.request_counts.count_waiting(requirements.waiting_name):
         components.heartbeats.send_soon(to_all=False)
         began_at = trio.current_time()
         while True:
@@ -108,7 +120,13 @@
             )
             if wait_s > left_s:
                 raise _no_endpoint_refusal(components, requirements, wait_s)
-            with trio.move_on_after(min(MAX_POLL_INTERVAL_S, left_s)):
+            limit_s = _limit_wait_s(components, requirements)
+            if limit_s > MIN_POLL_INTERVAL_S:
+                _check_limit_wait(requirements, limit_s, waited_s, left_s)
+            poll_s = min(MAX_POLL_INTERVAL_S, left_s)
+            if limit_s:
+                poll_s = min(poll_s, max(limit_s, MIN_POLL_INTERVAL_S))
+            with trio.move_on_after(poll_s):
                 await components.fleet_state.wait_for_change()
             selected = select_endpoint(components, requirements, excluded)
             if selected is not None:
@@ -205,6 +223,9 @@
         name: tracked
         for name, tracked in (healthy_holders or holders).items()
         if _cold_limit_allows(components, requirements, tracked, now)
+        and components.endpoint_limits.allows(
+            name, now, components.refill_fraction()
+        )
     }
     if not candidates:
         return None
@@ -222,6 +243,9 @@
             has_affinity=has_affinity,
             failure_ratio=components.outlier_detector.failure_ratio(name, now),
             is_cold=now < tracked_endpoint.cold_until,
+            is_limited=(
+                components.endpoint_limits.limit(name, now) is not None
+            ),
         )
 
     prefix_key = (
@@ -312,6 +336,46 @@
     )
 
 
+def _limit_wait_s(components, requirements):
+    """Return the expected time for which limits hold a request back.
+
+    The time is in seconds; requests that wait for the same are assumed to be
+    sent first.  0 if no endpoint is suited, as then no limit is the reason.
+    """
+    suited = [
+        tracked.endpoint.id
+        for tracked in components.fleet_state.usable_endpoints(
+            requirements.service.name
+        )
+        if _meets_requirements(components, requirements, tracked.endpoint.id)
+    ]
+    if not suited:
+        return 0.0
+    return components.endpoint_limits.wait_s(
+        suited,
+        trio.current_time(),
+        components.refill_fraction(),
+        max(1, components.waiting_count(requirements.waiting_name)),
+    )
+
+
+def _check_limit_wait(requirements, wait_s, waited_s, left_s):
+    """Refuse a request that the limits of endpoints would make late."""
+    max_wait_s = max(MIN_LIMIT_WAIT_S, requirements.target_latency_s)
+    if wait_s <= min(left_s, max_wait_s - waited_s):
+        return
+    raise refusals.refused(
+        "endpoint_limited",
+        f"the endpoints of {requirements.waiting_name} name a limit that "
+        f"allows this in {wait_s:.1f} s; come back then",
+        503,
+        retry_after_s=min(
+            MAX_LIMIT_RETRY_AFTER_S,
+            max(wait_s, load_waits.MIN_RETRY_AFTER_S),
+        ),
+    )
+
+
 def _no_endpoint_refusal(components, requirements, wait_s):
     if requirements.request_headers.model:
         retry_after_s = load_waits.retry_after_s(wait_s)
--- a/dogwoodwheel/entry/load_balancing.py
+++ b/dogwoodwheel/entry/load_balancing.py
@@ -31,6 +31,7 @@
 PREFIX_AFFINITY_BONUS = 1.5
 FAILURE_PENALTY = 20.0
 COLD_PENALTY = 6.0
+LIMIT_PENALTY = 3.0
 FULL_BATCH_PENALTY = 40.0
 # Maximum random addition to a cost, so that entries that compute equal costs
 # for several endpoints do not all select the same endpoint.
@@ -81,7 +82,14 @@
 
 
 def endpoint_cost(
-    endpoint, load, *, same_zone, has_affinity, failure_ratio, is_cold
+    endpoint,
+    load,
+    *,
+    same_zone,
+    has_affinity,
+    failure_ratio,
+    is_cold,
+    is_limited=False,
 ):
     """Return the cost of sending a request to an endpoint.
 
@@ -97,6 +105,8 @@
         Fraction of the endpoint's recent outcomes that were failures.
     is_cold : bool
         Whether the endpoint registered less than its `cold_s` ago.
+    is_limited : bool
+        Whether the endpoint names a limit of its requests.
 
     Returns
     -------
@@ -112,6 +122,7 @@
     cost -= PREFIX_AFFINITY_BONUS if has_affinity else 0.0
     cost += FAILURE_PENALTY * failure_ratio
     cost += COLD_PENALTY if is_cold else 0.0
+    cost += LIMIT_PENALTY if is_limited else 0.0
     return cost
 
 
--- a/dogwoodwheel/entry/membership.py
+++ b/dogwoodwheel/entry/membership.py
@@ -150,6 +150,7 @@
             holdings=self.leader_role.loaded_models_by_engine(brief),
             crashes=crashes,
             sound_sections=sound_sections,
+            limits=components.endpoint_limits.report(trio.current_time()),
         )
 
     def _peer_addresses(self):
@@ -203,6 +204,12 @@
         components.outlier_detector.record_peer_outcomes(
             heartbeat.outcomes, now, heartbeat.zone == components.settings.zone
         )
+        components.endpoint_limits.record_peer_report(
+            previous.limits if previous else None,
+            heartbeat.limits,
+            now,
+            components.refill_fraction(),
+        )
         components.query_of_death_detector.record_peer_report(
             heartbeat.crashes, heartbeat.sound_sections, now
         )
--- /dev/null
+++ b/dogwoodwheel/entry/rate_limits.py
@@ -0,0 +1,280 @@
+"""Keeps requests to endpoints within the rates that the endpoints name.
+
+Notes
+-----
+Workload: endpoints in need name in their answers how many requests per second
+they take from all entries together, often about one, while many entries send
+them requests and demand exceeds the limits.  An entry's equal share of such a
+limit is far below one request, so shares are not fixed: each entry counts the
+requests of all entries in a token bucket for each limited endpoint.  It counts
+its own requests at once, and those of a peer when the peer's next heartbeat
+arrives.  Requests that entries send before they know of each other's make the
+level negative, and are thus made up for.  As for customers' rates, each side
+of a network partition uses its own fraction of the refill.
+
+A limit holds until an answer of the endpoint names none, or for some time
+without any answer.
+"""
+
+import dataclasses
+import math
+
+from loguru import logger
+
+__all__ = ["EndpointLimits", "LimitState"]
+
+# Requests that an endpoint may get at once after it had none for a while:
+# BURST, or those of BURST_S at its limit.
+BURST = 3.0
+BURST_S = 0.5
+# Lowest level of a bucket: the requests of MAX_DEBT_S, and MAX_DEBT more.
+MAX_DEBT_S = 4.0
+MAX_DEBT = 4.0
+# A limit is forgotten after this time without an answer that names it; one
+# below MIN_REFRESH_RATE per second after the time of MIN_REFRESHES requests.
+MAX_AGE_S = 10.0
+MIN_REFRESHES = 3.0
+# Peers are told of answers up to this age.
+MAX_REPORTED_AGE_S = 5.0
+# A limit is logged again if it has changed by more than this ratio.
+LOGGED_CHANGE = 0.2
+
+
+@dataclasses.dataclass
+class LimitState:
+    """The limit of an endpoint, and the requests that it still allows.
+
+    Parameters
+    ----------
+    limit : float
+        Requests per second over all entries.
+    named_at : float
+        Time of trio's clock of the newest answer that named the limit.
+    level : float
+        Requests that may be sent now; negative if too many were sent.
+    refilled_at : float
+        Time of trio's clock up to which `level` was refilled.
+    logged_limit : float
+        Value of `limit` in the last log line.
+    """
+
+    limit: float
+    named_at: float
+    level: float
+    refilled_at: float
+    logged_limit: float
+
+    @property
+    def max_age_s(self):
+        """Time for which the limit holds without an answer, seconds."""
+        return max(MAX_AGE_S, MIN_REFRESHES / max(self.limit, 0.01))
+
+    def refill(self, now, refill_fraction):
+        """Add the requests that the limit allows since the last call."""
+        elapsed_s = max(0.0, now - self.refilled_at)
+        self.level = min(
+            max(BURST, BURST_S * self.limit),
+            self.level + elapsed_s * self.limit * refill_fraction,
+        )
+        self.refilled_at = now
+
+    def charge(self, count):
+        """Deduct requests that were sent."""
+        self.level = max(
+            -MAX_DEBT - MAX_DEBT_S * self.limit, self.level - count
+        )
+
+
+class EndpointLimits:
+    """The limits that endpoints name, as far as this entry knows.
+
+    Parameters
+    ----------
+    on_limit : callable
+        Called without arguments for each endpoint that begins to name one.
+
+    Attributes
+    ----------
+    sent : dict of str to int
+        Number of requests that this entry has sent to each endpoint while
+        the endpoint was limited.
+    """
+
+    def __init__(self, on_limit=lambda: None):
+        self.sent = {}
+        self._on_limit = on_limit
+        self._states = {}
+        # Newest answers that this entry has seen of endpoints that have named
+        # a limit: the limit or None, and the time.
+        self._answers = {}
+
+    def record_answer(self, endpoint, limit, now):
+        """Record an answer of an endpoint, with the limit it names or None."""
+        if limit is not None or endpoint in self._states:
+            self._answers[endpoint] = (limit, now)
+            self._set(endpoint, limit, now, now, "answer")
+
+    def record_sent(self, endpoint, now, refill_fraction):
+        """Count a request that is sent to an endpoint.
+
+        Returns
+        -------
+        bool
+            Whether peers should be told at once, since the endpoint takes no
+            further request now.
+        """
+        state = self._live_state(endpoint, now)
+        if state is None:
+            return False
+        state.refill(now, refill_fraction)
+        state.charge(1)
+        self.sent[endpoint] = self.sent.get(endpoint, 0) + 1
+        return state.level < 1.0
+
+    def allows(self, endpoint, now, refill_fraction):
+        """Return whether an endpoint may be sent a request now."""
+        return self.wait_s([endpoint], now, refill_fraction) <= 0.0
+
+    def wait_s(self, endpoints, now, refill_fraction, requests=1):
+        """Return the time until endpoints may be sent requests, seconds.
+
+        Parameters
+        ----------
+        endpoints : iterable of str
+            Endpoints that are equally suited.
+        now : float
+            Current time of trio's clock, seconds.
+        refill_fraction : float
+            Fraction of the refill that this side of a network partition may
+            use, 0 to 1.
+        requests : int
+            Number of requests that wait for any of the endpoints.
+
+        Returns
+        -------
+        float
+            0 if an endpoint has no limit; infinite if there are no endpoints,
+            or none of them takes requests.
+        """
+        rate = 0.0
+        level = 0.0
+        first_s = math.inf
+        for endpoint in endpoints:
+            state = self._live_state(endpoint, now)
+            if state is None:
+                return 0.0
+            state.refill(now, refill_fraction)
+            endpoint_rate = state.limit * refill_fraction
+            if not endpoint_rate:
+                continue
+            rate += endpoint_rate
+            level += state.level
+            first_s = min(first_s, (1.0 - state.level) / endpoint_rate)
+        if not rate:
+            return math.inf
+        return max(0.0, first_s, (requests - level) / rate)
+
+    def limit(self, endpoint, now):
+        """Return an endpoint's limit, requests per second, or None."""
+        state = self._live_state(endpoint, now)
+        return None if state is None else state.limit
+
+    def report(self, now):
+        """Return what peers should know, for a heartbeat.
+
+        Returns
+        -------
+        dict of str to (float or None, float or None, int)
+            By endpoint: limit in this entry's newest answer, age of that
+            answer in seconds or None if there is no recent one, and number of
+            requests sent.
+        """
+        self._answers = {
+            endpoint: answer
+            for endpoint, answer in self._answers.items()
+            if now - answer[1] <= MAX_REPORTED_AGE_S
+        }
+        reports = {
+            endpoint: (None, None, sent)
+            for endpoint, sent in self.sent.items()
+        }
+        for endpoint, (limit, answered_at) in self._answers.items():
+            reports[endpoint] = (
+                limit,
+                round(now - answered_at, 3),
+                self.sent.get(endpoint, 0),
+            )
+        return reports
+
+    def record_peer_report(self, previous, reports, now, refill_fraction):
+        """Add what a peer reported.
+
+        Parameters
+        ----------
+        previous : dict or None
+            The preceding report of the same process instance, or None.
+        reports : dict
+            As returned by `report`.
+        now, refill_fraction : float
+            As for `wait_s`.
+        """
+        for endpoint, (limit, age_s, sent) in reports.items():
+            if age_s is not None:
+                self._set(endpoint, limit, now - age_s, now, "peer")
+            if previous is None:
+                continue
+            known = previous.get(endpoint, (None, 0.0, 0))[2]
+            state = self._live_state(endpoint, now)
+            if state is not None and sent > known:
+                state.refill(now, refill_fraction)
+                state.charge(sent - known)
+
+    def retain(self, endpoints):
+        """Keep only what is known of the given endpoints."""
+        for values in (self.sent, self._states, self._answers):
+            for endpoint in values.keys() - endpoints.keys():
+                del values[endpoint]
+
+    def _live_state(self, endpoint, now):
+        state = self._states.get(endpoint)
+        if state is not None and now - state.named_at > state.max_age_s:
+            self._end(endpoint, state, "no answer for a while")
+            return None
+        return state
+
+    def _set(self, endpoint, limit, answered_at, now, source):
+        """Apply the limit of an answer, unless a newer answer is known."""
+        state = self._states.get(endpoint)
+        if state is None:
+            if limit is not None:
+                state = LimitState(limit, answered_at, 0.0, now, limit)
+                self._states[endpoint] = state
+                self._on_limit()
+                self._log(endpoint, state, None, source)
+        elif answered_at < state.named_at:
+            return
+        elif limit is None:
+            self._end(endpoint, state, "an answer names none")
+        else:
+            state.named_at = answered_at
+            state.limit = limit
+            before = state.logged_limit
+            if abs(limit - before) > LOGGED_CHANGE * before:
+                state.logged_limit = limit
+                self._log(endpoint, state, before, source)
+
+    def _log(self, endpoint, state, before, source):
+        logger.info(
+            "limit: named",
+            endpoint=endpoint,
+            limit=state.limit,
+            before=before,
+            source=source,
+        )
+
+    def _end(self, endpoint, state, why):
+        del self._states[endpoint]
+        self.sent.pop(endpoint, None)
+        logger.info(
+            "limit: ended", endpoint=endpoint, before=state.limit, why=why
+        )
--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -95,6 +95,7 @@
                 admitted.incoming.received_at
                 + admitted.route.caller_timeout_s,
             ),
+            admitted.route.target_latency_s,
         )
         route = admitted.route
         if route.kind == datatypes.RouteKind.STREAM:
@@ -283,6 +284,7 @@
         self.may_have_run = True
         self.prompt_guard.begin_attempt()
         self.rate_limit = None
+        self.components.record_sent(endpoint_id)
         silence_scope = trio.CancelScope()
         try:
             with silence_scope:
@@ -343,7 +345,7 @@
 
     async def _handle_reply(self, endpoint, reply, ran_before, silence_scope):
         """Handle a reply; return the outcome for the log, and the failure."""
-        self.rate_limit = http_headers.request_rate_limit(reply)
+        self._record_limit(endpoint, reply)
         if http_headers.was_not_executed(reply):
             self.may_have_run = ran_before
             return await self._handle_not_run(endpoint, reply)
@@ -368,6 +370,15 @@
         self.prompt_guard.record_end()
         return "ok", None
 
+    def _record_limit(self, endpoint, reply):
+        self.rate_limit = http_headers.request_rate_limit(reply)
+        if self.rate_limit is None and http_headers.was_not_executed(reply):
+            # Another process may have sent the reply.
+            return
+        self.components.endpoint_limits.record_answer(
+            endpoint.id, self.rate_limit, trio.current_time()
+        )
+
     async def _handle_not_run(self, endpoint, reply):
         self.not_run_count += 1
         if reply.status == http_headers.MISDIRECTED:
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -227,6 +227,7 @@
                 )
                 self.metrics.set_config_version(fleet_state.config.version)
             self.components.outlier_detector.retain(fleet_state.endpoints)
+            self.components.endpoint_limits.retain(fleet_state.endpoints)
             self.components.query_of_death_detector.expire(trio.current_time())
             addresses = {
                 tracked.endpoint.address
--- a/dogwoodwheel/programs/metrics.py
+++ b/dogwoodwheel/programs/metrics.py
@@ -57,6 +57,7 @@
     "conflicts_total": "Commits refused for another's earlier write.",
     "orders_total": "Orders to endpoints, by kind.",
     "crash_suspects_total": "Requests in flight as an engine crashed.",
+    "limits_total": "Endpoints that began to name a limit.",
     "quarantines_total": "Prompt sections that were quarantined.",
 }
 GAUGES = {
@@ -155,6 +156,10 @@
         """Count a prompt section that was quarantined."""
         self._metrics["quarantines_total"].inc({})
 
+    def count_limit(self):
+        """Count an endpoint that began to name a limit."""
+        self._metrics["limits_total"].inc({})
+
     def set_shares(self, number):
         """Set the number of partitions of the rates that this entry owns."""
         self._metrics["shares"].set({}, number)
--- /dev/null
+++ b/features/rate_limit_decisions.feature
@@ -0,0 +1,32 @@
+Feature: How entries share the limit of an endpoint, without sockets
+
+  Scenario Outline: All entries have requests for an endpoint with a limit
+    Given <entries> entries with heartbeats every <beat> s, <lost> of them lost
+    When callers send <rate> requests a second, and the endpoint names <limit>
+    Then from 3 s on no 4 s have more requests than the limit allows
+    And at least 0.7 of what the limit allows is sent
+
+    Examples:
+      | entries | beat | lost | rate | limit |
+      | 7       | 0.25 | 0    | 20   | 1     |
+      | 7       | 0.25 | 0.3  | 20   | 1     |
+      | 7       | 0.25 | 0    | 40   | 6.5   |
+      | 7       | 0.25 | 0    | 5    | 0.2   |
+      | 61      | 0.8  | 0.1  | 10   | 1     |
+      | 300     | 3.75 | 0.1  | 10   | 1     |
+      | 300     | 3.75 | 0.1  | 100  | 20    |
+
+  Scenario: Entries are frozen and restarted
+    Given 7 entries with heartbeats every 0.25 s, 0 of them lost
+    When entries are frozen and restarted as an endpoint names 1
+    Then from 3 s on no 4 s have more requests than the limit allows
+
+  Scenario: A limit ends
+    Given 7 entries with heartbeats every 0.25 s, 0 of them lost
+    When an endpoint names 1 for 10 s and then none
+    Then 4 s later no entry holds requests back
+
+  Scenario: No entry has an answer of an endpoint for some time
+    Given 7 entries with heartbeats every 0.25 s, 0 of them lost
+    When an endpoint names 1 for 10 s and is not asked for 12 s
+    Then 0 s later no entry holds requests back
