Do not pass on an empty stream that ended with its connection

A worker may send a stream with neither a length nor chunks and end it with its connection. One that crashes after the head of such a stream closes the connection too, so callers got an empty stream that looked complete, and the crash was not counted.

A stream without a length and without an event now counts as broken off. Scenarios for whole, broken and empty streams of this kind; the last one failed before (200 with no event) and gets 502 now.

--- a/dogwoodwheel/engines/http.py
+++ b/dogwoodwheel/engines/http.py
@@ -89,6 +89,13 @@
                 return value
         return default
 
+    @property
+    def ends_with_connection(self):
+        """Whether the body has no length, and ends as the peer closes."""
+        return not (
+            self.header(b"content-length") or self.header(b"transfer-encoding")
+        )
+
     async def iter_chunks(self, before_wait=None):
         """Yield the chunks of the body as they arrive.
 
--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -442,6 +442,11 @@
             )
         if splitter.has_partial_event:
             raise exceptions.ReplyError("a stream ended within an event")
+        if reply.ends_with_connection and not splitter.event_count:
+            # An endpoint that crashes closes the connection, too.
+            raise exceptions.ReplyError(
+                "a stream ended before its first event"
+            )
         await send_pending_events()
         if not caller.reply_started:
             await self._start_answer(reply)
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -35,6 +35,26 @@
     Then its answer is cut after event 3
     And 1 engine was asked
 
+  Scenario: A stream ends with its connection
+    Given the entry "one"
+    And the next request at each engine meets "unframed"
+    When a caller asks at "/draft/a" for a stream of "m0"
+    Then it gets the events 1 to 6
+    And 1 engine was asked
+
+  Scenario: A stream without a length ends inside an event
+    Given the entry "one"
+    And the next request at each engine meets "unframed_break"
+    When a caller asks at "/draft/a" for a stream of "m0"
+    Then its answer is cut after event 3
+
+  Scenario: A stream without a length ends before its first event
+    Given the entry "one"
+    And the next request at each engine meets "unframed_empty"
+    When a caller asks at "/draft/a" for a stream of "m0"
+    Then it gets 502
+    And 1 engine was asked
+
   Scenario: An event is missing in a stream that may not be resumed
     Given the entry "one"
     And the next request at each engine meets "skip"
--- a/features/standins/server.py
+++ b/features/standins/server.py
@@ -85,6 +85,10 @@
         """Send bytes past the protocol's state."""
         await self.conn.stream.send_all(data)
 
+    def finish(self):
+        """Close the connection in order after what was sent."""
+        self.conn.stream.socket.shutdown(socket.SHUT_WR)
+
     def cut(self):
         """Reset the connection."""
         reset(self.conn.stream)
--- a/features/standins/worker.py
+++ b/features/standins/worker.py
@@ -40,6 +40,8 @@
     "encoded",
     "surplus",
     "unframed",
+    "unframed_break",
+    "unframed_empty",
     "endless_head",
     "endless_interim",
     "endless_body",
@@ -48,6 +50,12 @@
     "skip",
 )
 EVENTS = 6
+# Number of whole events in a stream that ends with its connection.
+UNFRAMED_EVENTS = {
+    "unframed": EVENTS,
+    "unframed_break": 3,
+    "unframed_empty": 0,
+}
 TRICKLE_S = 0.05
 LATE_ORDER_S = 1.0
 
@@ -315,6 +323,9 @@
 
     async def _stream(self, exchange, headers, fault):
         first = int(exchange.headers.get("last-event-id", 0)) + 1
+        if fault in UNFRAMED_EVENTS:
+            await self._stream_unframed(exchange, headers, fault)
+            return
         await exchange.start(
             OK,
             [
@@ -342,6 +353,16 @@
             await trio.sleep(self.pace_s)
         await exchange.end()
 
+    async def _stream_unframed(self, exchange, headers, fault):
+        """Send a stream without length or chunks, and close the connection."""
+        lines = "".join(f"{key}: {value}\r\n" for key, value in headers)
+        await exchange.raw(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
+        for number in range(1, UNFRAMED_EVENTS[fault] + 1):
+            await exchange.raw(b"id: %d\ndata: %d\n\n" % (number, number))
+        if fault == "unframed_break":
+            await exchange.raw(b"id: 4\nda")
+        exchange.finish()
+
     def _is_poisoned(self, exchange):
         sections = exchange.headers.get("x-prompt-prefix", "").split(",")
         return self.poison is not None and self.poison[0] in {
