Play a query of death in the soak of entries

The soak has two more engines, reached without the proxy so that they refuse connections while they are down. From a random moment a section of prompts crashes them; at most 3 requests with it may reach engines later than 3 s after the fifth crash, from entries that nothing troubles.

--- a/features/chaos/entries.py
+++ b/features/chaos/entries.py
@@ -24,6 +24,12 @@
 ENTRIES = {"one": "zone-a", "two": "zone-a", "three": "zone-b"}
 ENGINES = {"w0": ("zone-a", "m0,m1"), "w1": ("zone-b", "m0,m2")}
 PLAIN = {"p0": "zone-a", "p1": "zone-b"}
+# Engines that a section of prompts may crash, and their service.
+FRAGILE = {"f0": "zone-a", "f1": "zone-b"}
+FRAGILE_SERVICE = "fragile"
+POISON = "dead"
+POISON_RATIO = 0.3
+DOWN_S = 0.7
 RATE = 20.0
 DEADLINE_S = 4.0
 READY_S = 30.0
@@ -51,6 +57,7 @@
     ("/orders/a", "POST", "once"),
     ("/stock/a", "GET", "safe"),
     ("/open/a", "GET", "safe"),
+    ("/fragile/a", "POST", "stream"),
 )
 MODELS = ("m0", "m1", "m2", "m3")
 # Keys of callers with the customer of each; the second one is withdrawn.
@@ -83,6 +90,7 @@
         self.begun = time.time()
         self.ended = None
         self.answer = None
+        self.poisoned = False
 
 
 class Run:
@@ -123,6 +131,7 @@
             self.leave,
             self.configure,
             self.compact,
+            self.poison,
         )
 
     def go(self, seconds):
@@ -160,14 +169,30 @@
 
     def _start(self):
         fleet = self.fleet
-        fleet.configure(self.version)
+        self._configure()
         for name, (zone, models) in ENGINES.items():
             fleet.add_worker(name, "models", models, zone=zone)
         for name, zone in PLAIN.items():
             fleet.add_worker(name, "plain", zone=zone)
+        for name, zone in FRAGILE.items():
+            fleet.add_worker(
+                name, FRAGILE_SERVICE, "m0", direct=True, zone=zone
+            )
         for name, zone in ENTRIES.items():
             fleet.start_entry(name, zone)
 
+    def _configure(self, **fields):
+        """Write the configuration, with the fragile engines' service."""
+        body = json.loads(entry_builders.config_body())
+        service = dict(body["services"][0], name=FRAGILE_SERVICE)
+        route = entry_builders.route_body("fragile", service=FRAGILE_SERVICE)
+        self.fleet.configure(
+            self.version,
+            routes=[*body["routes"], route],
+            services=[*body["services"], service],
+            **fields,
+        )
+
     def _send(self, index):
         rng = random.Random(index)
         path, method, kind = rng.choice(KINDS)
@@ -187,6 +212,16 @@
             fields["X_Model"] = rng.choice(MODELS)
             fields["X_Token_Count"] = "100,10"
             fields["X_Prompt_Prefix"] = "ab:60,cd:40"
+        if path == "/fragile/a":
+            fields["X_Model"] = "m0"
+            fields["X_Token_Count"] = "100,10"
+            sections = ["ab", f"b{rng.randrange(5)}"]
+            if rng.random() < POISON_RATIO:
+                sections.append(POISON)
+            sent.poisoned = POISON in sections
+            fields["X_Prompt_Prefix"] = ",".join(
+                f"{section}:20" for section in [*sections, f"c{index}"]
+            )
         body = sent.body.encode() if sent.body else None
         sent.answer = self.fleet.ask(
             sent.entry, path, method, body, sent.key, **fields
@@ -202,7 +237,7 @@
                 key for key in tenant["apiKeys"] if key != WITHDRAWN
             ]
         self.version += 1
-        self.fleet.configure(self.version, tenants=body["tenants"])
+        self._configure(tenants=body["tenants"])
         self.withdrawn.append((time.time(), WITHDRAWN))
 
     def _evacuate(self):
@@ -329,7 +364,14 @@
         """Bring a harmless new version into force."""
         with self._locks["config"]:
             self.version += rng.randrange(1, 4)
-            self.fleet.configure(self.version)
+            self._configure()
+        return ""
+
+    def poison(self, rng):
+        """Let a section of prompts crash the fragile engines from now on."""
+        for name in FRAGILE:
+            self.fleet.workers[name].call("set", poison=[POISON, DOWN_S])
+        self.log.append((time.time(), "poison"))
         return ""
 
 
@@ -351,6 +393,10 @@
         )
         for (path, status), count in sorted(counts.items()):
             print(f"{path:10} {status:4} {count:6}")
+        crashes = sum(
+            len(run.fleet.history(name, "crash")) for name in FRAGILE
+        )
+        print(f"{crashes} crashes of fragile engines")
         for text in found[:40]:
             print(f"BROKEN {text}")
         if found:
--- a/features/chaos/entry_checks.py
+++ b/features/chaos/entry_checks.py
@@ -18,6 +18,10 @@
 LATE_S = 1.0
 DEADLINE_S = 4.0
 EVENTS = 6
+# Requests with a section that crashes engines that may reach engines later
+# than CONTACT_S after the fifth crash.
+FREE_CRASHES = 5
+LATE_POISON = 3
 LEAST_SERVED = 0.25
 
 
@@ -39,6 +43,7 @@
         lambda: _left(run, workers),
         lambda: _withdrawn(run, workers),
         lambda: _orders(orders),
+        lambda: _poison(run, workers),
         lambda: _ended(run),
         lambda: _served(run),
     ):
@@ -85,7 +90,7 @@
                 yield f"{one.id} got the answer of another request"
             if not answer.headers.get("x-server-seal"):
                 yield f"{one.id} got an answer without a signature"
-            if one.path in ("/chat/a", "/draft/a"):
+            if one.path in ("/chat/a", "/draft/a", "/fragile/a"):
                 wanted = b"".join(
                     b"id: %d\ndata: %d\n\n" % (n, n)
                     for n in range(1, EVENTS + 1)
@@ -151,6 +156,31 @@
                 yield f"{one.id} got {one.answer.status} with a withdrawn key"
 
 
+def _poison(run, workers):
+    """Check that a section that crashes engines is kept from them."""
+    crashes = sorted(
+        event["at"]
+        for name in workers
+        for event in run.fleet.history(name, "crash")
+    )
+    if len(crashes) < FREE_CRASHES:
+        return
+    bound = crashes[FREE_CRASHES - 1] + CONTACT_S
+    sent = {one.id: one for one in run.sent if one.poisoned}
+    late = [
+        event["id"]
+        for events in workers.values()
+        for event in events
+        if event["id"] in sent
+        and event["at"] > bound
+        and not _troubled(
+            run, sent[event["id"]].entry, event["at"], event["at"]
+        )
+    ]
+    if len(late) > LATE_POISON:
+        yield f"{late} crash engines, {len(crashes)} crashes"
+
+
 def _orders(orders):
     """Check that fencing tokens do not go down, nor have two holders."""
     for name, events in orders.items():
--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -57,12 +57,19 @@
         self.store_address, self.store = self._stand_in("platform", "store")
         self.proxy = self._start_proxy() if proxied else None
 
-    def add_worker(self, name, service, models="", load_s=0.2, **fields):
-        """Start a worker and register it."""
+    def add_worker(
+        self, name, service, models="", load_s=0.2, direct=False, **fields
+    ):
+        """Start a worker and register it.
+
+        One that is reached directly, without the proxy, refuses connections
+        while it is down; the proxy would accept them.
+        """
         args = ["--name", name, "--models", models, "--load-s", load_s]
         address, ctl = self._stand_in("worker", name, args)
         self.workers[name] = ctl
-        address = self.link(f"entries->{name}", address)
+        if not direct:
+            address = self.link(f"entries->{name}", address)
         held = [
             {"name": model, "version": 1, "adapters": []}
             for model in models.split(",")
