Play limits that workers name in the soak of entries

A plain worker names a limit of 1.5 requests a second for 6 to 9 s; from 3 s on it may get what the limit allows, half as much again and 5, in any 4 s, from entries that nothing troubles.

--- a/features/chaos/entries.py
+++ b/features/chaos/entries.py
@@ -30,6 +30,9 @@
 POISON = "dead"
 POISON_RATIO = 0.3
 DOWN_S = 0.7
+# Requests per second that a worker in need names as its limit.
+LIMIT = 1.5
+LIMIT_SPAN_S = (6.0, 9.0)
 RATE = 20.0
 DEADLINE_S = 4.0
 READY_S = 30.0
@@ -107,6 +110,10 @@
         From when to when a zone was evacuated.
     withdrawn : list of (float, str)
         When a key was withdrawn.
+    named_limit : float
+        Requests per second that a worker in need names.
+    limited : list of (float, float, str)
+        From when to when a worker named a limit.
     """
 
     def __init__(self, seed):
@@ -118,6 +125,8 @@
         self.gone = []
         self.evacuated = []
         self.withdrawn = []
+        self.limited = []
+        self.named_limit = LIMIT
         self.version = 1
         self._locks = collections.defaultdict(threading.Lock)
         self.kinds = (
@@ -132,6 +141,7 @@
             self.configure,
             self.compact,
             self.poison,
+            self.limit,
         )
 
     def go(self, seconds):
@@ -374,6 +384,18 @@
         self.log.append((time.time(), "poison"))
         return ""
 
+    def limit(self, rng):
+        """Let a plain worker name a limit for a while."""
+        name = rng.choice(tuple(PLAIN))
+        with self._locks[f"limit {name}"]:
+            began = time.time()
+            self.fleet.workers[name].call("set", limit=LIMIT)
+            time.sleep(rng.uniform(*LIMIT_SPAN_S))
+            self.fleet.workers[name].call("set", limit=0)
+            self.limited.append((began, time.time(), name))
+            self.log.append((began, f"limit {name}"))
+        return ""
+
 
 def main():
     """Run as the command line says; exit 1 where something broke."""
--- a/features/chaos/entry_checks.py
+++ b/features/chaos/entry_checks.py
@@ -22,6 +22,10 @@
 # than CONTACT_S after the fifth crash.
 FREE_CRASHES = 5
 LATE_POISON = 3
+# Requests that a worker with a limit may get in LIMIT_WINDOW_S.
+LIMIT_WINDOW_S = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_SLACK = 5
 LEAST_SERVED = 0.25
 
 
@@ -44,6 +48,7 @@
         lambda: _withdrawn(run, workers),
         lambda: _orders(orders),
         lambda: _poison(run, workers),
+        lambda: _limits(run, workers),
         lambda: _ended(run),
         lambda: _served(run),
     ):
@@ -181,6 +186,27 @@
         yield f"{late} crash engines, {len(crashes)} crashes"
 
 
+def _limits(run, workers):
+    """Check that a worker that names a limit does not get far more."""
+    sent = {one.id: one for one in run.sent}
+    for since, until, name in run.limited:
+        times = [
+            event["at"]
+            for event in workers[name]
+            if since + CONTACT_S <= event["at"] <= until
+            and event["id"] in sent
+            and not _troubled(
+                run, sent[event["id"]].entry, event["at"], event["at"]
+            )
+        ]
+        allowed = LIMIT_RATIO * run.named_limit * LIMIT_WINDOW_S + LIMIT_SLACK
+        for at in times:
+            count = sum(at <= t < at + LIMIT_WINDOW_S for t in times)
+            if count > allowed:
+                yield f"{name} got {count} requests in 4 s, of {allowed:.0f}"
+                break
+
+
 def _orders(orders):
     """Check that fencing tokens do not go down, nor have two holders."""
     for name, events in orders.items():
