--- a/dogwoodwheel/entry/query_of_death.py
+++ b/dogwoodwheel/entry/query_of_death.py
@@ -24,7 +24,9 @@
 
 from loguru import logger
 
-__all__ = ["Crash", "Quarantine", "QueryOfDeathDetector", "find_suspects"]
+from dogwoodwheel.entry import crash_evidence
+
+__all__ = ["Quarantine", "QueryOfDeathDetector"]
 
 # Evidence that a crash gives against the sections of a prompt: full if the
 # engine had begun an answer without an event, partial if the request was
@@ -51,30 +53,10 @@
 # Upper limits of what one entry remembers and reports.
 MAX_CRASHES = 64
 MAX_REPORTED_CRASHES = 16
-MAX_PROMPTS_PER_CRASH = 4
 MAX_SOUND_SECTIONS = 4096
 MAX_QUARANTINED_BEFORE = 256
 
 
-@dataclasses.dataclass(frozen=True)
-class Crash:
-    """The crash of an engine, with the prompts it may have died of.
-
-    Parameters
-    ----------
-    endpoint : str
-        Name of the endpoint's process instance.
-    crashed_at : float
-        Time of trio's clock.
-    prompts : dict of tuple of str to float
-        Evidence against each prompt, by the prompt's shared sections.
-    """
-
-    endpoint: str
-    crashed_at: float
-    prompts: dict
-
-
 @dataclasses.dataclass(frozen=True)
 class Quarantine:
     """A section whose requests are refused.
@@ -97,75 +79,6 @@
     expires_at: float
 
 
-def find_suspects(crashes, sound_since, min_evidence):
-    """Return the sections that best explain a set of crashes.
-
-    Parameters
-    ----------
-    crashes : sequence of Crash
-    sound_since : dict of str to float
-        By section: time of the newest event of an answer to the section.
-        Crashes before that time are no evidence against the section.
-    min_evidence : callable
-        ``min_evidence(section)`` returns the required sum of evidence.
-
-    Returns
-    -------
-    dict of str to (float, list of Crash)
-        By section: the evidence and the crashes that the section explains.
-        A crash that one section explains does not count for others.
-
-    Notes
-    -----
-    Takes time proportional to the number of sections in all prompts, times
-    the number of sections found.
-
-    Examples
-    --------
-    >>> crashes = [
-    ...     Crash("a", 1.0, {("shared", "x"): 1.0, ("shared", "y"): 0.5}),
-    ...     Crash("b", 2.0, {("shared", "x"): 1.0, ("other", "z"): 0.5}),
-    ... ]
-    >>> list(find_suspects(crashes, {}, lambda section: 2.0))
-    ['x']
-    """
-    suspects = {}
-    unexplained = list(crashes)
-    while unexplained:
-        evidence = collections.Counter()
-        depths = {}
-        for crash in unexplained:
-            sections = _evidence_of(crash, sound_since)
-            for section, (weight, depth) in sections.items():
-                evidence[section] += weight
-                depths[section] = max(depth, depths.get(section, 0))
-        found = [s for s in evidence if evidence[s] >= min_evidence(s)]
-        if not found:
-            return suspects
-        # The name makes all entries choose the same section.
-        suspect = max(found, key=lambda s: (evidence[s], depths[s], s))
-        explained = [
-            crash
-            for crash in unexplained
-            if suspect in _evidence_of(crash, sound_since)
-        ]
-        suspects[suspect] = (evidence[suspect], explained)
-        unexplained = [c for c in unexplained if c not in explained]
-    return suspects
-
-
-def _evidence_of(crash, sound_since):
-    """Return the evidence and position of each section that is not sound."""
-    sections = {}
-    for prompt, weight in crash.prompts.items():
-        for depth, section in enumerate(prompt):
-            if sound_since.get(section, -math.inf) > crash.crashed_at:
-                continue
-            previous = sections.get(section, (0.0, 0))
-            sections[section] = max(previous, (weight, depth))
-    return sections
-
-
 class QueryOfDeathDetector:
     """Collects crashes of engines, and quarantines what explains them.
 
@@ -204,7 +117,9 @@
             Current time of trio's clock, seconds.
         """
         weight = FULL_EVIDENCE if has_begun else PARTIAL_EVIDENCE
-        self._add_crash(Crash(endpoint, now, {tuple(sections): weight}))
+        self._add_crash(
+            crash_evidence.Crash(endpoint, now, {tuple(sections): weight})
+        )
         self._update(now)
 
     def record_sound(self, sections, answered_at):
@@ -286,7 +201,7 @@
             if age_s < CRASH_MAX_AGE_S:
                 evidence = {tuple(p): weight for weight, p in prompts}
                 has_changed |= self._add_crash(
-                    Crash(endpoint, now - age_s, evidence)
+                    crash_evidence.Crash(endpoint, now - age_s, evidence)
                 )
         for section, age_s in sound_sections.items():
             known_at = self._sound_at_peers.get(section, -math.inf)
@@ -308,7 +223,7 @@
                 known.endpoint == crash.endpoint
                 and abs(known.crashed_at - crash.crashed_at) < SAME_CRASH_S
             ):
-                self._crashes[index] = _merge(known, crash)
+                self._crashes[index] = crash_evidence.merge(known, crash)
                 return self._crashes[index].prompts != known.prompts
         self._crashes.append(crash)
         self._crashes.sort(key=lambda c: (c.crashed_at, c.endpoint))
@@ -318,7 +233,7 @@
     def _update(self, now):
         sound_since = self._all_sound_since()
         previous = self.quarantines
-        suspects = find_suspects(
+        suspects = crash_evidence.find_suspects(
             self._crashes, sound_since, self._min_evidence
         )
         self.quarantines = {}
@@ -400,19 +315,6 @@
         }
 
 
-def _merge(known, crash):
-    """Return one crash from two reports, with the strongest evidence."""
-    prompts = dict(known.prompts)
-    for prompt, weight in crash.prompts.items():
-        prompts[prompt] = max(weight, prompts.get(prompt, 0.0))
-    strongest = sorted(prompts.items(), key=lambda item: (-item[1], item[0]))
-    return Crash(
-        known.endpoint,
-        min(known.crashed_at, crash.crashed_at),
-        dict(strongest[:MAX_PROMPTS_PER_CRASH]),
-    )
-
-
 def _set_newest(values, name, value, max_size=MAX_SOUND_SECTIONS):
     """Raise a value of a dictionary that keeps its last-used names only."""
     values[name] = max(value, values.get(name, -math.inf))
