--- a/dogwoodwheel/entry/endpoint_selection.py
+++ b/dogwoodwheel/entry/endpoint_selection.py
@@ -14,6 +14,7 @@
 import trio
 
 from dogwoodwheel.entry import cold_start
+from dogwoodwheel.entry import limit_waits
 from dogwoodwheel.entry import load_balancing
 from dogwoodwheel.entry import load_waits
 from dogwoodwheel.requests import refusals
@@ -32,11 +33,6 @@
 # Maximum time between two attempts to select an endpoint, seconds.
 MAX_POLL_INTERVAL_S = 0.25
 MIN_POLL_INTERVAL_S = 0.02
-# A request waits for the limits of endpoints until its route's target latency,
-# but for at least this time, seconds.
-MIN_LIMIT_WAIT_S = 0.4
-# Maximum Retry-After of a request that limits hold back, seconds.
-MAX_LIMIT_RETRY_AFTER_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -122,7 +118,15 @@
                 raise _no_endpoint_refusal(components, requirements, wait_s)
             limit_s = _limit_wait_s(components, requirements)
             if limit_s > MIN_POLL_INTERVAL_S:
-                _check_limit_wait(requirements, limit_s, waited_s, left_s)
+                limit_waits.check_wait(
+                    requirements.waiting_name,
+                    limit_s,
+                    min(
+                        left_s,
+                        limit_waits.max_wait_s(requirements.target_latency_s)
+                        - waited_s,
+                    ),
+                )
             poll_s = min(MAX_POLL_INTERVAL_S, left_s)
             if limit_s:
                 poll_s = min(poll_s, max(limit_s, MIN_POLL_INTERVAL_S))
@@ -359,23 +363,6 @@
     )
 
 
-def _check_limit_wait(requirements, wait_s, waited_s, left_s):
-    """Refuse a request that the limits of endpoints would make late."""
-    max_wait_s = max(MIN_LIMIT_WAIT_S, requirements.target_latency_s)
-    if wait_s <= min(left_s, max_wait_s - waited_s):
-        return
-    raise refusals.refused(
-        "endpoint_limited",
-        f"the endpoints of {requirements.waiting_name} name a limit that "
-        f"allows this in {wait_s:.1f} s; come back then",
-        503,
-        retry_after_s=min(
-            MAX_LIMIT_RETRY_AFTER_S,
-            max(wait_s, load_waits.MIN_RETRY_AFTER_S),
-        ),
-    )
-
-
 def _no_endpoint_refusal(components, requirements, wait_s):
     if requirements.request_headers.model:
         retry_after_s = load_waits.retry_after_s(wait_s)
