Do not take up a limit from a report older than its end

Cause: an ended limit left nothing behind, so the report of a peer whose newest answer still named the limit began it anew, and the peer's next answer ended it everywhere. Ruled out: the endpoint, whose answers named none from then on.

Entries now keep the time of the answer that ended a limit. A report begins or ends a limit only if it is newer than what is known by more than the time that a heartbeat takes, since its age is counted from its arrival.

--- a/dogwoodwheel/entry/rate_limits.py
+++ b/dogwoodwheel/entry/rate_limits.py
@@ -36,6 +36,9 @@
 MIN_REFRESHES = 3.0
 # Peers are told of answers up to this age.
 MAX_REPORTED_AGE_S = 5.0
+# An answer that a peer reports seems later than it was by the time that the
+# heartbeat takes, up to about this time.
+MAX_REPORT_DELAY_S = 0.2
 # A limit is logged again if it has changed by more than this ratio.
 LOGGED_CHANGE = 0.2
 
@@ -107,6 +110,8 @@
         # Newest answers that this entry has seen of endpoints that have named
         # a limit: the limit or None, and the time.
         self._answers = {}
+        # Times of answers that ended a limit.
+        self._ended_at = {}
 
     def record_answer(self, endpoint, limit, now):
         """Record an answer of an endpoint, with the limit it names or None."""
@@ -231,7 +236,12 @@
 
     def retain(self, endpoints):
         """Keep only what is known of the given endpoints."""
-        for values in (self.sent, self._states, self._answers):
+        for values in (
+            self.sent,
+            self._states,
+            self._answers,
+            self._ended_at,
+        ):
             for endpoint in values.keys() - endpoints.keys():
                 del values[endpoint]
 
@@ -246,22 +256,32 @@
         """Apply the limit of an answer, unless a newer answer is known."""
         state = self._states.get(endpoint)
         if state is None:
-            if limit is not None:
-                state = LimitState(limit, answered_at, 0.0, now, limit)
-                self._states[endpoint] = state
-                self._on_limit()
-                self._log(endpoint, state, None, source)
-        elif answered_at < state.named_at:
-            return
-        elif limit is None:
-            self._end(endpoint, state, "an answer names none")
+            known_at = self._ended_at.get(endpoint, -math.inf)
         else:
-            state.named_at = answered_at
-            state.limit = limit
-            before = state.logged_limit
-            if abs(limit - before) > LOGGED_CHANGE * before:
-                state.logged_limit = limit
-                self._log(endpoint, state, before, source)
+            known_at = state.named_at
+        # A report about the time of a change may be older than it seems.
+        is_change = state is None or limit is None
+        if is_change and source == "peer":
+            known_at += MAX_REPORT_DELAY_S
+        if answered_at < known_at:
+            return
+        if limit is None:
+            if state is not None:
+                self._ended_at[endpoint] = answered_at
+                self._end(endpoint, state, "an answer names none")
+            return
+        if state is None:
+            state = LimitState(limit, answered_at, 0.0, now, limit)
+            self._states[endpoint] = state
+            self._on_limit()
+            self._log(endpoint, state, None, source)
+            return
+        state.named_at = answered_at
+        state.limit = limit
+        before = state.logged_limit
+        if abs(limit - before) > LOGGED_CHANGE * before:
+            state.logged_limit = limit
+            self._log(endpoint, state, before, source)
 
     def _log(self, endpoint, state, before, source):
         logger.info(
--- a/features/rate_limit_decisions.feature
+++ b/features/rate_limit_decisions.feature
@@ -26,6 +26,11 @@
     When an endpoint names 1 for 10 s and then none
     Then 4 s later no entry holds requests back
 
+  Scenario: A limit that has ended is not taken from an older report
+    Given 7 entries with heartbeats every 0.25 s, 0 of them lost
+    When an endpoint names 1 for 10 s and then none
+    Then each entry has begun to observe a limit once
+
   Scenario: No entry has an answer of an endpoint for some time
     Given 7 entries with heartbeats every 0.25 s, 0 of them lost
     When an endpoint names 1 for 10 s and is not asked for 12 s
--- a/features/rate_limit_replay.py
+++ b/features/rate_limit_replay.py
@@ -36,6 +36,8 @@
         Times at which the endpoint got any requests.
     named_at : float
         Time at which the endpoint first named a limit.
+    begun : collections.Counter
+        By entry: how often it has begun to observe a limit.
     """
 
     def __init__(self, count, beat_s, loss=0.0, seed=1):
@@ -45,6 +47,7 @@
         self.arrivals = []
         self.sent = []
         self.named_at = None
+        self.begun = collections.Counter()
         self.frozen = set()
         self.entries = [None] * count
         self._previous = {}
@@ -58,7 +61,9 @@
 
     def restart(self, index):
         """Replace an entry by one that knows nothing."""
-        self.entries[index] = rate_limits.EndpointLimits()
+        self.entries[index] = rate_limits.EndpointLimits(
+            lambda: self.begun.update([index])
+        )
         self._told_at.pop(index, None)
         for pair in [p for p in self._previous if index in p]:
             del self._previous[pair]
--- a/features/steps/rate_limit_replay_steps.py
+++ b/features/steps/rate_limit_replay_steps.py
@@ -60,6 +60,13 @@
     context.now = seconds + idle_s
 
 
+@then("each entry has begun to observe a limit once")
+def step_begun_once(context):
+    begun = context.replay.begun
+    entries = range(len(context.replay.entries))
+    assert all(begun[index] == 1 for index in entries), begun
+
+
 @then("from {after_s:g} s on no 4 s have more requests than the limit allows")
 def step_bound(context, after_s):
     allowed = MAX_RATIO * context.limit * WINDOW_S + SLACK
