Keep the limit of an endpoint that is idle

An endpoint that named a limit of 0 got no request for five minutes, so that its answers could not end the limit. An entry that started while the endpoint was idle for 5 s did not learn the limit.

Cause: a limit was forgotten by its age, as if age were evidence that the endpoint recovered, and otherwise nothing but an answer could end it, for which a limit of 0 allowed no request.

A limit now holds until an answer names none, or the endpoint is gone. At least 0.1 requests a second are sent, so an answer always comes. Peers are told of answers of the last 60 s.

The scenario that no entry holds requests back after 12 s without an answer is replaced by three: a burst after that time stays within the limit, one answer that names none frees all entries within 1 s also after a limit of 0, and an entry that starts meanwhile knows the limit.

--- a/dogwoodwheel/entry/endpoint_selection.py
+++ b/dogwoodwheel/entry/endpoint_selection.py
@@ -248,7 +248,7 @@
             failure_ratio=components.outlier_detector.failure_ratio(name, now),
             is_cold=now < tracked_endpoint.cold_until,
             is_limited=(
-                components.endpoint_limits.limit(name, now) is not None
+                components.endpoint_limits.limit(name) is not None
             ),
         )
 
--- a/dogwoodwheel/entry/rate_limits.py
+++ b/dogwoodwheel/entry/rate_limits.py
@@ -12,8 +12,9 @@
 level negative, and are thus made up for.  As for customers' rates, each side
 of a network partition uses its own fraction of the refill.
 
-A limit holds until an answer of the endpoint names none, or for some time
-without any answer.
+A limit holds until an answer of the endpoint names none.  For that, a few
+requests are always sent: if a limit were forgotten while its endpoint is idle,
+the next burst would reach the endpoint from all entries at once.
 """
 
 import dataclasses
@@ -30,12 +31,12 @@
 # Lowest level of a bucket: the requests of MAX_DEBT_S, and MAX_DEBT more.
 MAX_DEBT_S = 4.0
 MAX_DEBT = 4.0
-# A limit is forgotten after this time without an answer that names it; one
-# below MIN_REFRESH_RATE per second after the time of MIN_REFRESHES requests.
-MAX_AGE_S = 10.0
-MIN_REFRESHES = 3.0
-# Peers are told of answers up to this age.
-MAX_REPORTED_AGE_S = 5.0
+# Requests per second that an endpoint gets even if its limit is lower, as only
+# an answer can end a limit.
+MIN_RATE = 0.1
+# Peers are told of answers up to this age, so that entries that start learn
+# the limits of idle endpoints.
+MAX_REPORTED_AGE_S = 60.0
 # An answer that a peer reports seems later than it was by the time that the
 # heartbeat takes, up to about this time.
 MAX_REPORT_DELAY_S = 0.2
@@ -68,16 +69,16 @@
     logged_limit: float
 
     @property
-    def max_age_s(self):
-        """Time for which the limit holds without an answer, seconds."""
-        return max(MAX_AGE_S, MIN_REFRESHES / max(self.limit, 0.01))
+    def rate(self):
+        """Requests per second that all entries together send at most."""
+        return max(self.limit, MIN_RATE)
 
     def refill(self, now, refill_fraction):
         """Add the requests that the limit allows since the last call."""
         elapsed_s = max(0.0, now - self.refilled_at)
         self.level = min(
             max(BURST, BURST_S * self.limit),
-            self.level + elapsed_s * self.limit * refill_fraction,
+            self.level + elapsed_s * self.rate * refill_fraction,
         )
         self.refilled_at = now
 
@@ -128,7 +129,7 @@
             Whether peers should be told at once, since the endpoint takes no
             further request now.
         """
-        state = self._live_state(endpoint, now)
+        state = self._states.get(endpoint)
         if state is None:
             return False
         state.refill(now, refill_fraction)
@@ -158,20 +159,17 @@
         Returns
         -------
         float
-            0 if an endpoint has no limit; infinite if there are no endpoints,
-            or none of them takes requests.
+            0 if an endpoint has no limit; infinite if there are no endpoints.
         """
         rate = 0.0
         level = 0.0
         first_s = math.inf
         for endpoint in endpoints:
-            state = self._live_state(endpoint, now)
+            state = self._states.get(endpoint)
             if state is None:
                 return 0.0
             state.refill(now, refill_fraction)
-            endpoint_rate = state.limit * refill_fraction
-            if not endpoint_rate:
-                continue
+            endpoint_rate = state.rate * refill_fraction
             rate += endpoint_rate
             level += state.level
             first_s = min(first_s, (1.0 - state.level) / endpoint_rate)
@@ -179,9 +177,9 @@
             return math.inf
         return max(0.0, first_s, (requests - level) / rate)
 
-    def limit(self, endpoint, now):
+    def limit(self, endpoint):
         """Return an endpoint's limit, requests per second, or None."""
-        state = self._live_state(endpoint, now)
+        state = self._states.get(endpoint)
         return None if state is None else state.limit
 
     def report(self, now):
@@ -229,7 +227,7 @@
             if previous is None:
                 continue
             known = previous.get(endpoint, (None, 0.0, 0))[2]
-            state = self._live_state(endpoint, now)
+            state = self._states.get(endpoint)
             if state is not None and sent > known:
                 state.refill(now, refill_fraction)
                 state.charge(sent - known)
@@ -245,13 +243,6 @@
             for endpoint in values.keys() - endpoints.keys():
                 del values[endpoint]
 
-    def _live_state(self, endpoint, now):
-        state = self._states.get(endpoint)
-        if state is not None and now - state.named_at > state.max_age_s:
-            self._end(endpoint, state, "no answer for a while")
-            return None
-        return state
-
     def _set(self, endpoint, limit, answered_at, now, source):
         """Apply the limit of an answer, unless a newer answer is known."""
         state = self._states.get(endpoint)
@@ -268,7 +259,7 @@
         if limit is None:
             if state is not None:
                 self._ended_at[endpoint] = answered_at
-                self._end(endpoint, state, "an answer names none")
+                self._end(endpoint, state, source)
             return
         if state is None:
             state = LimitState(limit, answered_at, 0.0, now, limit)
@@ -292,9 +283,12 @@
             source=source,
         )
 
-    def _end(self, endpoint, state, why):
+    def _end(self, endpoint, state, source):
         del self._states[endpoint]
         self.sent.pop(endpoint, None)
         logger.info(
-            "limit: ended", endpoint=endpoint, before=state.limit, why=why
+            "limit: ended",
+            endpoint=endpoint,
+            before=state.limit,
+            source=source,
         )
--- a/features/rate_limit_decisions.feature
+++ b/features/rate_limit_decisions.feature
@@ -29,9 +29,23 @@
   Scenario: A limit that has ended is not taken from an older report
     Given 7 entries with heartbeats every 0.25 s, 0 of them lost
     When an endpoint names 1 for 10 s and then none
-    Then each entry has begun to observe a limit once
+    Then 4 s later no entry holds requests back
+    And each entry has begun to observe a limit once
+
+  Scenario: A burst comes after no requests for some time
+    Given 7 entries with heartbeats every 0.25 s, 0 of them lost
+    When an endpoint names 1 for 10 s and is not asked for 12 s
+    And callers then send 40 requests a second for 8 s
+    Then from 3 s on no 4 s have more requests than the limit allows
+
+  Scenario: An endpoint that has been idle no longer names a limit
+    Given 7 entries with heartbeats every 0.25 s, 0 of them lost
+    When an endpoint names 0 for 10 s and is not asked for 12 s
+    And it names none when callers send 20 requests a second again
+    Then 1 s later no entry holds requests back
 
-  Scenario: No entry has an answer of an endpoint for some time
+  Scenario: An entry starts while a limited endpoint is idle
     Given 7 entries with heartbeats every 0.25 s, 0 of them lost
     When an endpoint names 1 for 10 s and is not asked for 12 s
-    Then 0 s later no entry holds requests back
+    And entry 0 is restarted
+    Then 1 s later entry 0 knows the limit
