Keep callers' connections in the soak of entries, and lose no sound request

The soak opened a connection for each request, sent no SIGHUP, had three entries at most and each failure once, and did not check that sound requests are served beside those that crash engines.

Two checks are new: a request that was passed on is not cut off by a stop or a reload of its entry; sound requests of the route whose prompts crash engines are served at least half as often as before, where there are 20 of each.

No change of the product.

--- a/features/chaos/entries.py
+++ b/features/chaos/entries.py
@@ -1,11 +1,13 @@
 """Random failures of entries that decide alone, and what must hold.
 
-``python -m features.chaos.entries --seed N --seconds S`` runs one seed.
+``python -m features.chaos.entries --seed N --seconds S`` runs one seed;
+``--entries N`` starts more entries than three.
 """
 
 import argparse
 import collections
 import json
+import math
 import random
 import shutil
 import sys
@@ -22,6 +24,7 @@
 __all__ = ["Run", "Sent", "main"]
 
 ENTRIES = {"one": "zone-a", "two": "zone-a", "three": "zone-b"}
+ZONES = ("zone-a", "zone-b")
 ENGINES = {"w0": ("zone-a", "m0,m1"), "w1": ("zone-b", "m0,m2")}
 PLAIN = {"p0": "zone-a", "p1": "zone-b"}
 # Engines that a section of prompts may crash, and their service.
@@ -38,8 +41,9 @@
 READY_S = 30.0
 SPAN_S = (0.2, 3.0)
 PAUSE_S = (0.1, 1.0)
-# Failures that overlap.
+# Failures that overlap, and how often each is repeated in series.
 AT_ONCE = 2
+SERIES = (1, 1, 1, 3)
 STORE_FAULTS = ("refuse", "hang", "lose")
 LINK_FAULTS = ("cut", "blackhole", "half_open", "freeze")
 WORKER_FAULTS = (
@@ -99,11 +103,23 @@
 class Run:
     """One run over a fleet of entries; call `go`, then `stop`.
 
+    Parameters
+    ----------
+    seed : int
+    entries : int
+        Number of entries, at least 3.
+
     Attributes
     ----------
+    entries : dict of str to str
+        Zones of the entries.
     troubled : list of (float, float, str)
         From when to when something failed, by Unix time: an entry's
         name, or ``all``.
+    planned : list of (float, float, str)
+        Those of `troubled` that are stops and reloads by a signal.
+    poisoned_at : float
+        Unix time at which a section of prompts first crashes engines.
     gone : list of (float, float, str)
         From when to when a worker was not registered.
     evacuated : list of (float, float, str)
@@ -116,12 +132,20 @@
         From when to when a worker named a limit.
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, entries=len(ENTRIES)):
         self.rng = random.Random(seed)
-        self.fleet = entry_fleet.EntryFleet(proxied=True)
+        self.fleet = entry_fleet.EntryFleet(
+            proxied=True, keeps_connections=True
+        )
+        self.entries = ENTRIES | {
+            f"entry{number}": ZONES[number % len(ZONES)]
+            for number in range(len(ENTRIES), entries)
+        }
         self.sent = []
         self.log = []
         self.troubled = []
+        self.planned = []
+        self.poisoned_at = math.inf
         self.gone = []
         self.evacuated = []
         self.withdrawn = []
@@ -133,6 +157,7 @@
             self.kill,
             self.pause,
             self.stop_entry,
+            self.reload,
             self.cut_store,
             self.cut_worker,
             self.store_fault,
@@ -158,7 +183,7 @@
                 thread.start()
             for thread in threads:
                 thread.join()
-            for name in ENTRIES:
+            for name in self.entries:
                 process.wait_for(
                     lambda name=name: self.fleet.ready(name),
                     READY_S,
@@ -188,7 +213,7 @@
             fleet.add_worker(
                 name, FRAGILE_SERVICE, "m0", direct=True, zone=zone
             )
-        for name, zone in ENTRIES.items():
+        for name, zone in self.entries.items():
             fleet.start_entry(name, zone)
 
     def _configure(self, **fields):
@@ -210,7 +235,7 @@
             path,
             method,
             kind,
-            rng.choice(tuple(ENTRIES)),
+            rng.choice(tuple(self.entries)),
             f"body {index}" if method == "POST" else "",
             None if path == "/open/a" else rng.choice(tuple(KEYS)),
         )
@@ -263,19 +288,27 @@
         rng = random.Random(seed)
         while time.monotonic() < until:
             kind = rng.choice(self.kinds)
-            began = time.time()
-            whom = kind(rng)
-            if whom:
-                self.troubled.append((began, time.time(), whom))
-                self.log.append((began, f"{kind.__name__} {whom}"))
+            for _ in range(rng.choice(SERIES)):
+                self._fail_once(kind, rng)
             time.sleep(rng.uniform(*PAUSE_S))
 
+    def _fail_once(self, kind, rng):
+        began = time.time()
+        whom = kind(rng)
+        if not whom:
+            return
+        span = (began, time.time(), whom)
+        self.troubled.append(span)
+        if kind in (self.stop_entry, self.reload):
+            self.planned.append(span)
+        self.log.append((began, f"{kind.__name__} {whom}"))
+
     def _last(self, rng):
         time.sleep(rng.uniform(*SPAN_S))
 
     def _entry(self, rng, func):
         """Run a failure of an entry unless another one goes on there."""
-        name = rng.choice(tuple(ENTRIES))
+        name = rng.choice(tuple(self.entries))
         if not self._locks[name].acquire(blocking=False):
             return ""
         try:
@@ -320,9 +353,23 @@
 
         return self._entry(rng, fail)
 
+    def reload(self, rng):
+        """Send an entry the signal to read its settings again."""
+
+        def fail(proc):
+            # One that has only just been started knows no signal yet.
+            process.wait_for(
+                lambda: self.fleet.ready(proc.name),
+                READY_S,
+                f"{proc.name} to be ready",
+            )
+            proc.reload()
+
+        return self._entry(rng, fail)
+
     def cut_store(self, rng):
         """Cut an entry off from the store, one way or another."""
-        name = rng.choice(tuple(ENTRIES))
+        name = rng.choice(tuple(self.entries))
         return self._link(rng, f"{name}->store", name)
 
     def cut_worker(self, rng):
@@ -381,6 +428,7 @@
         """Let a section of prompts crash the fragile engines from now on."""
         for name in FRAGILE:
             self.fleet.workers[name].call("set", poison=[POISON, DOWN_S])
+        self.poisoned_at = min(self.poisoned_at, time.time())
         self.log.append((time.time(), "poison"))
         return ""
 
@@ -402,9 +450,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--entries", type=int, default=len(ENTRIES))
     parser.add_argument("--keep", help="folder for the logs of a breach")
     args = parser.parse_args()
-    run = Run(args.seed)
+    run = Run(args.seed, args.entries)
     began = time.time()
     try:
         found = run.go(args.seconds)
--- a/features/chaos/entry_checks.py
+++ b/features/chaos/entry_checks.py
@@ -22,6 +22,12 @@
 # than CONTACT_S after the fifth crash.
 FREE_CRASHES = 5
 LATE_POISON = 3
+# Sound requests of the same route are served this much less often at most,
+# where there are LEAST_SOUND of them before and after.
+LOST_RATIO = 0.5
+LEAST_SOUND = 20
+# Requests that were passed on and cut off without any failure.
+MAX_CLOSED = 3
 # Requests that a worker with a limit may get in LIMIT_WINDOW_S.
 LIMIT_WINDOW_S = 4.0
 LIMIT_RATIO = 1.5
@@ -48,6 +54,8 @@
         lambda: _withdrawn(run, workers),
         lambda: _orders(orders),
         lambda: _poison(run, workers),
+        lambda: _sound(run, workers),
+        lambda: _closed(run, workers),
         lambda: _limits(run, workers),
         lambda: _ended(run),
         lambda: _served(run),
@@ -109,11 +117,15 @@
 
 def _troubled(run, entry, begun, ended):
     """Tell whether something failed at an entry around a time."""
+    return _overlaps(run.troubled, entry, begun, ended)
+
+
+def _overlaps(spans, entry, begun, ended):
     return any(
         whom in (entry, "all")
         and since - CONTACT_S <= ended
         and begun <= until + CONTACT_S
-        for since, until, whom in run.troubled
+        for since, until, whom in spans
     )
 
 
@@ -186,6 +198,53 @@
         yield f"{late} crash engines, {len(crashes)} crashes"
 
 
+def _sound(run, workers):
+    """Check that sound requests are served beside those that crash engines."""
+    crashes = sorted(
+        event["at"]
+        for name in workers
+        for event in run.fleet.history(name, "crash")
+    )[:FREE_CRASHES]
+    if not crashes:
+        return
+    quiet = [
+        one
+        for one in run.sent
+        if one.path == "/fragile/a"
+        and not one.poisoned
+        and not _troubled(run, one.entry, one.begun, one.ended)
+    ]
+    before = [one for one in quiet if one.ended < run.poisoned_at]
+    after = [one for one in quiet if one.begun > crashes[-1] + 2 * CONTACT_S]
+    if min(len(before), len(after)) < LEAST_SOUND:
+        return
+    shares = [
+        sum(one.answer.status == OK for one in part) / len(part)
+        for part in (before, after)
+    ]
+    if shares[1] < LOST_RATIO * shares[0]:
+        yield f"{shares[1]:.2f} of sound requests served, not {shares[0]:.2f}"
+
+
+def _closed(run, workers):
+    """Check that requests that were passed on are answered, also in stops."""
+    arrived = {event["id"] for events in workers.values() for event in events}
+    unplanned = [span for span in run.troubled if span not in run.planned]
+    closed = [
+        one
+        for one in run.sent
+        if not one.answer.whole
+        and one.id in arrived
+        and one.ended - one.begun < DEADLINE_S
+        and not _overlaps(unplanned, one.entry, one.begun, one.ended)
+    ]
+    for one in closed:
+        if _overlaps(run.planned, one.entry, one.begun, one.ended):
+            yield f"{one.id} was cut off as {one.entry} stopped or reloaded"
+    if len(closed) > MAX_CLOSED:
+        yield f"{[one.id for one in closed]} were cut off without a failure"
+
+
 def _limits(run, workers):
     """Check that a worker that names a limit does not get far more."""
     sent = {one.id: one for one in run.sent}
--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import sys
+import threading
 import uuid
 
 from features import entry_builders
@@ -10,7 +11,7 @@
 from features.standins import machines
 from features.standins import process
 
-__all__ = ["Answer", "EntryFleet"]
+__all__ = ["Answer", "EntryFleet", "KeptConnections"]
 
 TIMEOUT_S = 10.0
 KEY = "key-husk"
@@ -28,6 +29,11 @@
     body : bytes
     whole : bool
         Whether the reply ended as its framing says.
+
+    Attributes
+    ----------
+    reused : bool
+        Whether the request was sent on a connection that had been idle.
     """
 
     def __init__(self, status, headers, body, whole):
@@ -35,6 +41,7 @@
         self.headers = headers
         self.body = body
         self.whole = whole
+        self.reused = False
 
     def __repr__(self):
         return f"Answer({self.status}, {self.body!r}, whole={self.whole})"
@@ -47,10 +54,13 @@
     ----------
     proxied : bool
         Whether entries reach store and workers through a proxy.
+    keeps_connections : bool
+        Whether callers keep their connections to entries open.
     """
 
-    def __init__(self, proxied=False):
+    def __init__(self, proxied=False, keeps_connections=False):
         super().__init__("entries-")
+        self.kept = KeptConnections() if keeps_connections else None
         self.workers = {}
         self.entries = {}
         self.registered = {}
@@ -177,6 +187,8 @@
             fields["Authorization"] = f"Token {key}"
         for header, value in headers.items():
             fields[header.replace("_", "-")] = str(value)
+        if self.kept is not None:
+            return self.kept.ask(self.front(name), method, path, body, fields)
         return ask(self.front(name), method, path, body, fields)
 
     def stream(self, name, path="/chat/a", model="m0", **headers):
@@ -216,10 +228,51 @@
         return address, ctl
 
 
+class KeptConnections:
+    """Connections that callers use again until the entry closes them."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._idle = {}
+
+    def ask(self, address, method, path, body=None, headers=None):
+        """Send a request on an idle connection if there is one.
+
+        Returns
+        -------
+        Answer
+        """
+        with self._lock:
+            idle = self._idle.setdefault(address, [])
+            conn = idle.pop() if idle else None
+        is_reused = conn is not None
+        conn = conn or _connection(address)
+        answer = _exchange(conn, method, path, body, headers)
+        answer.reused = is_reused
+        # The client has closed a connection that the reply says will close.
+        if answer.whole and conn.sock is not None:
+            with self._lock:
+                self._idle[address].append(conn)
+        else:
+            conn.close()
+        return answer
+
+
 def ask(address, method, path, body=None, headers=None):
     """Send one request on a new connection; return its `Answer`."""
+    conn = _connection(address)
+    try:
+        return _exchange(conn, method, path, body, headers)
+    finally:
+        conn.close()
+
+
+def _connection(address):
     host, _, port = address.rpartition(":")
-    conn = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT_S)
+    return http.client.HTTPConnection(host, int(port), timeout=TIMEOUT_S)
+
+
+def _exchange(conn, method, path, body, headers):
     try:
         conn.request(method, path, body, headers or {})
         reply = conn.getresponse()
@@ -231,5 +284,3 @@
             return Answer(reply.status, fields, part, False)
     except (http.client.HTTPException, OSError):
         return Answer(0, {}, b"", False)
-    finally:
-        conn.close()
--- a/features/standins/process.py
+++ b/features/standins/process.py
@@ -104,6 +104,11 @@
         if self.running():
             self.popen.send_signal(signal.SIGTERM)
 
+    def reload(self):
+        """Send SIGHUP."""
+        if self.running():
+            self.popen.send_signal(signal.SIGHUP)
+
     def wait(self, timeout_s=STOP_S):
         """Wait until it has ended; return its exit code."""
         return self.popen.wait(timeout_s)
