Count a crash once, however late a heartbeat tells of it

An entry that was frozen for some seconds after one crash of an engine could quarantine every section of the prompts in flight, and so could its peers: sound requests with them would get 503 for 60 s.

Cause: two reports were taken for one crash if their times were within 1.5 s. The time is the arrival less the age in the heartbeat, so heartbeats that an entry reads seconds after they were sent, and those of a VM whose clock stood still while it was suspended, described further crashes of the same engine.

Each entry that observes a crash now gives it a random number, which goes on with the reports; reports with a common number are of one crash. Times decide only between observations that no entry has brought together yet.

Both new scenarios failed before (quarantined after one crash) and pass.

--- a/dogwoodwheel/entry/crash_evidence.py
+++ b/dogwoodwheel/entry/crash_evidence.py
@@ -15,6 +15,8 @@
 
 # Number of prompts that are remembered of a crash, strongest evidence first.
 MAX_PROMPTS_PER_CRASH = 8
+# Number of observations that are remembered of a crash.
+MAX_OBSERVATIONS = 32
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,11 +31,17 @@
         Time of trio's clock.
     prompts : dict of tuple of str to float
         Evidence against each prompt, by the prompt's shared sections.
+    observations : frozenset of int
+        Random numbers, one of each entry that observed the crash.  Two
+        reports with a common number describe the same crash, whatever their
+        times: a heartbeat may be read long after it was sent, and the clock
+        of a VM stands still while the VM is suspended.
     """
 
     endpoint: str
     crashed_at: float
     prompts: dict
+    observations: frozenset = frozenset()
 
 
 def find_suspects(crashes, sound_since, min_evidence):
@@ -127,4 +135,8 @@
         known.endpoint,
         min(known.crashed_at, crash.crashed_at),
         dict(strongest[:MAX_PROMPTS_PER_CRASH]),
+        # All entries keep the same numbers.
+        frozenset(
+            sorted(known.observations | crash.observations)[:MAX_OBSERVATIONS]
+        ),
     )
--- a/dogwoodwheel/entry/endpoint_selection.py
+++ b/dogwoodwheel/entry/endpoint_selection.py
@@ -247,9 +247,7 @@
             has_affinity=has_affinity,
             failure_ratio=components.outlier_detector.failure_ratio(name, now),
             is_cold=now < tracked_endpoint.cold_until,
-            is_limited=(
-                components.endpoint_limits.limit(name) is not None
-            ),
+            is_limited=(components.endpoint_limits.limit(name) is not None),
         )
 
     prefix_key = (
--- a/dogwoodwheel/entry/query_of_death.py
+++ b/dogwoodwheel/entry/query_of_death.py
@@ -20,7 +20,9 @@
 
 import collections
 import dataclasses
+import functools
 import math
+import random
 
 from loguru import logger
 
@@ -39,8 +41,9 @@
 MIN_EVIDENCE_AGAIN = 1.0
 # Number of events after which an answer proves its prompt sound.
 SOUND_EVENTS = 2
-# Reports of the same endpoint within this time describe the same crash.
+# Observations of the same endpoint within this time are of the same crash.
 SAME_CRASH_S = 1.5
+OBSERVATION_BITS = 32
 # A crash is forgotten after CRASH_MAX_AGE_S.  Each earlier quarantine of a
 # section doubles the time for its crashes, up to MAX_QUARANTINE_S.
 CRASH_MAX_AGE_S = 60.0
@@ -118,7 +121,12 @@
         """
         weight = FULL_EVIDENCE if has_begun else PARTIAL_EVIDENCE
         self._add_crash(
-            crash_evidence.Crash(endpoint, now, {tuple(sections): weight})
+            crash_evidence.Crash(
+                endpoint,
+                now,
+                {tuple(sections): weight},
+                self._observation(endpoint, now),
+            )
         )
         self._update(now)
 
@@ -162,8 +170,9 @@
 
         Returns
         -------
-        crashes : tuple of (str, float, tuple)
-            Endpoint, age in seconds, and pairs of evidence and sections.
+        crashes : tuple of (str, float, tuple, tuple)
+            Endpoint, age in seconds, pairs of evidence and sections, and
+            observations.
         sound_sections : dict of str to float
             Age in seconds of the newest answer, by section of these crashes.
         """
@@ -183,6 +192,7 @@
                 crash.endpoint,
                 round(now - crash.crashed_at, 3),
                 tuple((w, p) for p, w in crash.prompts.items()),
+                tuple(sorted(crash.observations)),
             )
             for crash in crashes[-MAX_REPORTED_CRASHES:]
         ), {
@@ -197,11 +207,15 @@
         if not crashes and not sound_sections:
             return
         has_changed = False
-        for endpoint, age_s, prompts in crashes:
+        for endpoint, age_s, prompts, observations in crashes:
             if age_s < CRASH_MAX_AGE_S:
-                evidence = {tuple(p): weight for weight, p in prompts}
                 has_changed |= self._add_crash(
-                    crash_evidence.Crash(endpoint, now - age_s, evidence)
+                    crash_evidence.Crash(
+                        endpoint,
+                        now - age_s,
+                        {tuple(p): weight for weight, p in prompts},
+                        frozenset(observations),
+                    )
                 )
         for section, age_s in sound_sections.items():
             known_at = self._sound_at_peers.get(section, -math.inf)
@@ -210,6 +224,18 @@
         if has_changed:
             self._update(now)
 
+    def _observation(self, endpoint, now):
+        """Return a new observation, or none if the crash is known."""
+        if any(self._is_same_time(c, endpoint, now) for c in self._crashes):
+            return frozenset()
+        return frozenset([random.getrandbits(OBSERVATION_BITS)])
+
+    def _is_same_time(self, crash, endpoint, crashed_at):
+        return (
+            crash.endpoint == endpoint
+            and abs(crash.crashed_at - crashed_at) < SAME_CRASH_S
+        )
+
     def _add_crash(self, crash):
         """Add a crash, or merge it with an earlier report of the same one.
 
@@ -218,17 +244,19 @@
         bool
             Whether the evidence has changed.
         """
-        for index, known in enumerate(self._crashes):
-            if (
-                known.endpoint == crash.endpoint
-                and abs(known.crashed_at - crash.crashed_at) < SAME_CRASH_S
-            ):
-                self._crashes[index] = crash_evidence.merge(known, crash)
-                return self._crashes[index].prompts != known.prompts
-        self._crashes.append(crash)
+        known = [
+            c for c in self._crashes if c.observations & crash.observations
+        ] or [
+            c
+            for c in self._crashes
+            if self._is_same_time(c, crash.endpoint, crash.crashed_at)
+        ]
+        merged = functools.reduce(crash_evidence.merge, [*known, crash])
+        self._crashes = [c for c in self._crashes if c not in known]
+        self._crashes.append(merged)
         self._crashes.sort(key=lambda c: (c.crashed_at, c.endpoint))
         del self._crashes[:-MAX_CRASHES]
-        return True
+        return len(known) != 1 or merged.prompts != known[0].prompts
 
     def _update(self, now):
         sound_since = self._all_sound_since()
--- a/dogwoodwheel/wire/messages.py
+++ b/dogwoodwheel/wire/messages.py
@@ -344,9 +344,10 @@
         By endpoint, sent by the lease holder only: age of the engine's
         report in seconds, loaded models with adapters, and the model
         being loaded.  Some heartbeats only list engines that changed.
-    crashes : tuple of (str, float, tuple)
-        Crashes of engines: endpoint, age in seconds, and pairs of evidence
-        and the prompt sections it is held against.
+    crashes : tuple of (str, float, tuple, tuple)
+        Crashes of engines: endpoint, age in seconds, pairs of evidence and
+        the prompt sections it is held against, and numbers that identify the
+        crash.
     sound_sections : dict of str to float
         By section of these crashes: seconds since this entry passed on an
         answer to it.
--- a/features/query_of_death_decisions.feature
+++ b/features/query_of_death_decisions.feature
@@ -37,6 +37,16 @@
     When 20 engines crash at once, each with 8 requests in flight
     Then nothing is quarantined at 1.5 s
 
+  Scenario: A frozen entry reads the heartbeats of some seconds at once
+    When the section "a" crashes an engine at 2 s
+    And all that a peer tells of it until 8 s is read at 8 s
+    Then nothing is quarantined at 8.1 s
+
+  Scenario: The clock of a suspended peer has stood still
+    When the section "a" crashes an engine at 2 s
+    And a peer whose clock is 5 s behind tells of it at 8 s
+    Then nothing is quarantined at 8.1 s
+
   Scenario: A section that crashes engines again after its quarantine
     When the section "a" crashes engines at 2 s and at 3 s
     Then "a" is quarantined at 62 s
--- a/features/steps/query_of_death_replay_steps.py
+++ b/features/steps/query_of_death_replay_steps.py
@@ -8,6 +8,7 @@
 from features import query_of_death_replay
 
 FREE_CRASHES = 5
+BEAT_S = 0.25
 
 
 @given(
@@ -123,6 +124,29 @@
     detector(context).record_crash(f"engine-{at}", sections, True, at)
 
 
+def peer_of(context, now):
+    """Return the detector of a peer that the scenario's detector told."""
+    peer = query_of_death.QueryOfDeathDetector()
+    peer.record_peer_report(*detector(context).report(now), now)
+    return peer
+
+
+@when("all that a peer tells of it until {end:g} s is read at {now:g} s")
+def step_backlog(context, end, now):
+    told_at = 2.1
+    peer = peer_of(context, told_at)
+    while told_at < end:
+        report = peer.report(told_at)
+        detector(context).record_peer_report(*report, now)
+        told_at += BEAT_S
+
+
+@when("a peer whose clock is {lag_s:g} s behind tells of it at {now:g} s")
+def step_lagging(context, lag_s, now):
+    report = peer_of(context, 2.1).report(now - lag_s)
+    detector(context).record_peer_report(*report, now)
+
+
 @when("{count:d} engines crash at once, each with {size:d} requests in flight")
 def step_mass_crash(context, count, size):
     for engine in range(count):
