Tell entries that start of a quarantine until late in it

A section that crashed engines again was quarantined for two minutes and more, yet an entry that started later than 48 s after the last crash let its requests through until two more engines had crashed.

Cause: heartbeats carried crashes of the last 48 s only, and never how often a section had been quarantined, on which its evidence and duration depend.

Heartbeats now carry the crashes behind a quarantine during 0.8 of its time, with the number of earlier quarantines and all answers to their sections. The last fifth leaves room for clocks that lag, so that entries that end a quarantine are not told to begin the next one.

The scenario of an entry that starts 160 s into a quarantine failed before and passes.

--- a/dogwoodwheel/entry/membership.py
+++ b/dogwoodwheel/entry/membership.py
@@ -122,8 +122,8 @@
         entry_settings = components.settings
         fleet_state = components.fleet_state
         self._heartbeat_id += 1
-        crashes, sound_sections = components.query_of_death_detector.report(
-            trio.current_time()
+        crashes, sound_sections, earlier_quarantines = (
+            components.query_of_death_detector.report(trio.current_time())
         )
         return messages.EntryBeat(
             id=self._heartbeat_id,
@@ -150,6 +150,7 @@
             holdings=self.leader_role.loaded_models_by_engine(brief),
             crashes=crashes,
             sound_sections=sound_sections,
+            earlier_quarantines=earlier_quarantines,
             limits=components.endpoint_limits.report(trio.current_time()),
         )
 
@@ -211,7 +212,10 @@
             components.refill_fraction(),
         )
         components.query_of_death_detector.record_peer_report(
-            heartbeat.crashes, heartbeat.sound_sections, now
+            heartbeat.crashes,
+            heartbeat.sound_sections,
+            heartbeat.earlier_quarantines,
+            now,
         )
         components.fleet_state.peer_operator_version = max(
             components.fleet_state.peer_operator_version,
--- a/dogwoodwheel/entry/query_of_death.py
+++ b/dogwoodwheel/entry/query_of_death.py
@@ -48,9 +48,10 @@
 # section doubles the time for its crashes, up to MAX_QUARANTINE_S.
 CRASH_MAX_AGE_S = 60.0
 MAX_QUARANTINE_S = 3600.0
-# Peers are told of a crash until this age, so that no two entries renew each
-# other's memory of a crash that both are about to forget.
-MAX_REPORTED_AGE_S = 0.8 * CRASH_MAX_AGE_S
+# Peers are told of a crash during this fraction of the time for which it is
+# remembered, so that no two entries renew each other's memory of a crash that
+# both are about to forget.
+REPORTED_FRACTION = 0.8
 # A time that a peer reports again may differ by this from the earlier report.
 MAX_DELAY_JITTER_S = 0.1
 # Upper limits of what one entry remembers and reports.
@@ -69,8 +70,8 @@
     section : str
     evidence : float
         Sum of the evidence of the crashes.
-    endpoints : tuple of str
-        Endpoints that crashed.
+    crashes : tuple of dogwoodwheel.entry.crash_evidence.Crash
+        Crashes that the section explains, oldest first; not empty.
     expires_at : float
         Time of trio's clock at which the quarantine ends if no engine crashes
         until then.
@@ -78,9 +79,21 @@
 
     section: str
     evidence: float
-    endpoints: tuple
+    crashes: tuple
     expires_at: float
 
+    @property
+    def endpoints(self):
+        """Endpoints that crashed."""
+        return tuple(crash.endpoint for crash in self.crashes)
+
+    def is_reported(self, now):
+        """Return whether peers are told of the quarantine's crashes."""
+        began_at = self.crashes[-1].crashed_at
+        return now < began_at + REPORTED_FRACTION * (
+            self.expires_at - began_at
+        )
+
 
 class QueryOfDeathDetector:
     """Collects crashes of engines, and quarantines what explains them.
@@ -175,11 +188,19 @@
             observations.
         sound_sections : dict of str to float
             Age in seconds of the newest answer, by section of these crashes.
+        earlier_quarantines : dict of str to int
+            By section that is quarantined: number of earlier quarantines.
         """
+        quarantines = [
+            quarantine
+            for quarantine in self.quarantines.values()
+            if quarantine.is_reported(now)
+        ]
         crashes = [
             crash
             for crash in self._crashes
-            if now - crash.crashed_at < MAX_REPORTED_AGE_S
+            if now - crash.crashed_at < REPORTED_FRACTION * CRASH_MAX_AGE_S
+            or any(crash in quarantine.crashes for quarantine in quarantines)
         ]
         sections = {
             section
@@ -187,28 +208,41 @@
             for prompt in crash.prompts
             for section in prompt
         }
-        return tuple(
-            (
-                crash.endpoint,
-                round(now - crash.crashed_at, 3),
-                tuple((w, p) for p, w in crash.prompts.items()),
-                tuple(sorted(crash.observations)),
-            )
-            for crash in crashes[-MAX_REPORTED_CRASHES:]
-        ), {
-            section: round(now - self._sound_since[section], 3)
-            for section in sections
-            if section in self._sound_since
-            and now - self._sound_since[section] < MAX_REPORTED_AGE_S
-        }
+        return (
+            tuple(
+                (
+                    crash.endpoint,
+                    round(now - crash.crashed_at, 3),
+                    tuple((w, p) for p, w in crash.prompts.items()),
+                    tuple(sorted(crash.observations)),
+                )
+                for crash in crashes[-MAX_REPORTED_CRASHES:]
+            ),
+            {
+                section: round(now - self._sound_since[section], 3)
+                for section in sections
+                if section in self._sound_since
+            },
+            {
+                quarantine.section: self._quarantine_counts[quarantine.section]
+                for quarantine in quarantines
+                if quarantine.section in self._quarantine_counts
+            },
+        )
 
-    def record_peer_report(self, crashes, sound_sections, now):
+    def record_peer_report(
+        self, crashes, sound_sections, earlier_quarantines, now
+    ):
         """Add what a peer reported; the parameters are those of `report`."""
         if not crashes and not sound_sections:
             return
         has_changed = False
+        for section, count in earlier_quarantines.items():
+            if count > self._quarantine_counts.get(section, 0):
+                self._set_quarantine_count(section, count)
+                has_changed = True
         for endpoint, age_s, prompts, observations in crashes:
-            if age_s < CRASH_MAX_AGE_S:
+            if age_s < MAX_QUARANTINE_S:
                 has_changed |= self._add_crash(
                     crash_evidence.Crash(
                         endpoint,
@@ -273,7 +307,7 @@
                 self.quarantines[section] = Quarantine(
                     section,
                     evidence,
-                    tuple(crash.endpoint for crash in crashes),
+                    tuple(crashes),
                     expires_at,
                 )
         for section in previous.keys() - self.quarantines.keys():
@@ -290,11 +324,8 @@
         section = quarantine.section
         has_expired = now >= quarantine.expires_at
         if has_expired:
-            _set_newest(
-                self._quarantine_counts,
-                section,
-                self._quarantine_counts.get(section, 0) + 1,
-                MAX_QUARANTINED_BEFORE,
+            self._set_quarantine_count(
+                section, self._quarantine_counts.get(section, 0) + 1
             )
         logger.info(
             "query of death: released",
@@ -306,6 +337,11 @@
             ),
         )
 
+    def _set_quarantine_count(self, section, count):
+        _set_newest(
+            self._quarantine_counts, section, count, MAX_QUARANTINED_BEFORE
+        )
+
     def _log_quarantine(self, quarantine, now):
         self._on_quarantine()
         logger.warning(
--- a/dogwoodwheel/wire/messages.py
+++ b/dogwoodwheel/wire/messages.py
@@ -351,6 +351,8 @@
     sound_sections : dict of str to float
         By section of these crashes: seconds since this entry passed on an
         answer to it.
+    earlier_quarantines : dict of str to int
+        By section that is quarantined: number of earlier quarantines.
     limits : dict of str to (float or None, float or None, int)
         By endpoint that named a limit: the limit in the newest answer that
         this entry got, age of that answer in seconds, and requests sent.
@@ -378,6 +380,7 @@
     holdings: dict = dataclasses.field(default_factory=dict)
     crashes: tuple = ()
     sound_sections: dict = dataclasses.field(default_factory=dict)
+    earlier_quarantines: dict = dataclasses.field(default_factory=dict)
     limits: dict = dataclasses.field(default_factory=dict)
 
 
--- a/features/query_of_death_decisions.feature
+++ b/features/query_of_death_decisions.feature
@@ -55,6 +55,23 @@
     Then "a" is quarantined at 180 s
     And nothing is quarantined at 186 s
 
+  Scenario: An entry starts late in a quarantine that follows others
+    When the section "a" crashes engines at 2 s and at 3 s
+    Then nothing is quarantined at 64 s
+    When the section "a" crashes an engine at 65 s
+    Then nothing is quarantined at 186 s
+    When the section "a" crashes an engine at 190 s
+    Then "a" is quarantined at 340 s
+    When an entry starts and is told of it at 350 s
+    Then "a" is quarantined at 425 s
+    And nothing is quarantined at 431 s
+
+  Scenario: Entries end a quarantine at the same time
+    When the section "a" crashes engines at 2 s and at 3 s
+    Then "a" is quarantined at 60 s
+    When a peer whose clock is 10 s behind tells of it at 64 s
+    Then nothing is quarantined at 64.1 s
+
   Scenario: Two sections that always come together, until one comes alone
     When the prompt "b/a" crashes engines at 2 s and at 3 s
     Then "a" is quarantined at 3.5 s
--- a/features/steps/query_of_death_replay_steps.py
+++ b/features/steps/query_of_death_replay_steps.py
@@ -147,6 +147,11 @@
     detector(context).record_peer_report(*report, now)
 
 
+@when("an entry starts and is told of it at {now:g} s")
+def step_started(context, now):
+    context.detector = peer_of(context, now)
+
+
 @when("{count:d} engines crash at once, each with {size:d} requests in flight")
 def step_mass_crash(context, count, size):
     for engine in range(count):
