Check again who leads before a free lease is taken

An entry that was frozen for a second while the store was away for all could take the lease although its holder had extended it: two entries might order for half a second.

Cause: an entry looks whether a peer claims the lease, then asks the store. A pause in between makes what it saw stale: the holder, which hears the paused entry for 0.9 s, may extend the lease by 0.8 s from then on.

The claims are looked at again once the store has answered, and after a pause only when heartbeats have had time to arrive.

The new scenario failed before, with each of three entries frozen, and passes.

--- a/dogwoodwheel/entry/lease.py
+++ b/dogwoodwheel/entry/lease.py
@@ -45,8 +45,9 @@
 # rank (at most MAX_DELAY_RANK), so that lower ranks acquire the lease first.
 DELAY_PER_RANK_S = 0.25
 MAX_DELAY_RANK = 4
-# Time for which a new entry waits for heartbeats of its peers before the first
-# check, seconds: twice the heartbeat interval of a small fleet.
+# Time for which an entry waits for heartbeats of its peers before the first
+# check, and if no peer was heard for this time, seconds: twice the heartbeat
+# interval of a small fleet.
 PEER_DISCOVERY_S = 0.5
 # An entry whose bandwidth is below this fraction of the fleet's highest
 # bandwidth lets other entries take the lease first.
@@ -272,6 +273,12 @@
             or self._is_given_up(row, holder_info)
         )
         if is_free or now - self._newest_known_version[1] >= VALIDITY_S:
+            # After a pause of this process, heartbeats show whether the holder
+            # has extended the lease meanwhile.
+            if self._hears_no_peer():
+                await trio.sleep(PEER_DISCOVERY_S)
+            if self._peer_holds_lease():
+                return
             await self._acquire(
                 row, is_retake=holder_info.get("before") == self._name
             )
@@ -311,6 +318,14 @@
         ]
         return any(claim and claim[0] for claim in claims)
 
+    def _hears_no_peer(self):
+        """Return whether no known peer was heard for `PEER_DISCOVERY_S`."""
+        peers = self._heartbeats.peers.values()
+        return bool(peers) and (
+            max(peer.received_at for peer in peers)
+            < trio.current_time() - PEER_DISCOVERY_S
+        )
+
     def _store_answers_peers(self, earliest_at):
         """Return whether the store answered a peer after a given time."""
         return any(
--- a/features/entry_lease.feature
+++ b/features/entry_lease.feature
@@ -23,6 +23,11 @@
     When the store is away for all for 8 s and the holder is frozen for 4 s
     Then at no moment two entries might order
 
+  Scenario: The store is away and comes back for an entry that was frozen
+    Given 4 entries that share a store
+    When the store is away for 4 s, and then answers one that was frozen 1.2 s
+    Then at no moment two entries might order
+
   Scenario: Answers of the store are lost
     Given 3 entries that share a store
     When the store loses half of its answers for 8 s
--- a/features/steps/entry_lease_steps.py
+++ b/features/steps/entry_lease_steps.py
@@ -320,6 +320,25 @@
         play(context, script, seed)
 
 
+@when(
+    "the store is away for {away_s:g} s, and then answers one that was "
+    "frozen {frozen_s:g} s"
+)
+def step_thaw_candidate(context, away_s, frozen_s):
+    async def script(made):
+        candidates = [e for e in made.entries if e is not made.holder()]
+        for entry in made.entries:
+            entry.cut = True
+        await trio.sleep(away_s)
+        candidate = candidates[context.candidate]
+        candidate.frozen_until = trio.current_time() + frozen_s
+        candidate.cut = False
+        await trio.sleep(away_s)
+
+    for context.candidate in range(context.count - 1):
+        play(context, script)
+
+
 @when("the holder is frozen for {s:d} s and then the next one is")
 def step_back(context, s):
     async def script(made):
