Let no frozen entry extend its lease in the replay of leases

The trace: entry-1 is frozen from 32.52 to 34.07 s. The play holds up its calls to the store and its heartbeats, but its task that extends the lease went on, and extended it to 34.1 s at 33.3 s, as it still counted its peers as live. A frozen process runs no task; its lease ends at 33.3 s.

In the replay a frozen entry now sees no live peers, so it extends nothing.

--- a/features/steps/entry_lease_steps.py
+++ b/features/steps/entry_lease_steps.py
@@ -71,12 +71,21 @@
 
 
 class HeartbeatExchange:
-    """An entry's view of the others' beats."""
+    """An entry's view of the others' beats.
 
-    def __init__(self):
+    Parameters
+    ----------
+    entry : Entry
+    """
+
+    def __init__(self, entry):
+        self.entry = entry
         self.peers = {}
 
     def live_peers(self):
+        if self.entry.is_frozen:
+            # A frozen process extends no lease.
+            return {}
         now = trio.current_time()
         return {
             name: peer
@@ -99,7 +108,7 @@
         self.cut = False
         self.frozen_until = 0.0
         self.answered_at = 0.0
-        self.heartbeats = HeartbeatExchange()
+        self.heartbeats = HeartbeatExchange(self)
         self.lease = lease_module.Lease(
             Client(rows, self),
             name,
