Go on when a peer's heartbeat has fields of another shape

Entries ended with code 1 while a soak restarted some of them on newer code: a heartbeat that names crashes with other fields raised an error in the task that receives datagrams, which ends the process. In an upgrade entry by entry each new one would end all old ones, or the other way round.

Cause: a datagram that cannot be decoded is logged and passed over, but one that can be decoded and then not be applied was not expected.

Such a heartbeat is now logged with its sender and the reason, and the entry goes on.

--- a/dogwoodwheel/entry/heartbeats.py
+++ b/dogwoodwheel/entry/heartbeats.py
@@ -22,7 +22,12 @@
 from dogwoodwheel.wire import codec
 from dogwoodwheel.wire import messages
 
-__all__ = ["HeartbeatExchange", "Peer", "full_heartbeat_interval_s"]
+__all__ = [
+    "HeartbeatExchange",
+    "Peer",
+    "encode_datagram",
+    "full_heartbeat_interval_s",
+]
 
 # The interval of full heartbeats is INTERVAL_PER_ENTRY_S times the number of
 # entries, but at least MIN_INTERVAL_S.  An entry then receives at most
@@ -293,7 +298,7 @@
         await self._send_to(addresses, msg)
 
     async def _send_to(self, addresses, msg):
-        datagram = _compress(codec.encode(msg))
+        datagram = encode_datagram(msg)
         if len(datagram) > MAX_MESSAGE_BYTES:
             logger.warning(
                 "heartbeats: message too large for a datagram",
@@ -334,10 +339,20 @@
         except exceptions.WireError as exc:
             logger.warning("heartbeats: malformed datagram", why=str(exc))
             return
-        if isinstance(msg, messages.EndpointRows):
-            self.on_scan(msg)
-        else:
-            self.process_heartbeat(msg, trio.current_time())
+        try:
+            if isinstance(msg, messages.EndpointRows):
+                self.on_scan(msg)
+            else:
+                self.process_heartbeat(msg, trio.current_time())
+        except (AttributeError, LookupError, TypeError, ValueError) as exc:
+            # Peers of another release may send fields of another shape while
+            # a fleet is upgraded; this entry must go on serving.
+            logger.warning(
+                "heartbeats: fields not understood",
+                kind=type(msg).__name__,
+                peer=getattr(msg, "name", ""),
+                why=repr(exc),
+            )
 
     def process_heartbeat(self, heartbeat, now):
         """Record a peer's heartbeat, unless a newer one has arrived."""
@@ -379,6 +394,11 @@
                 logger.info("heartbeats: silent peer removed", name=name)
 
 
+def encode_datagram(msg):
+    """Return the datagram that carries a message, as bytes."""
+    return _compress(codec.encode(msg))
+
+
 def _compress(data):
     compressor = zlib.compressobj(
         COMPRESSION_LEVEL, zdict=COMPRESSION_DICTIONARY
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -239,3 +239,9 @@
     And the next request at each plain worker meets "lose"
     When a caller posts to "/orders/1"
     Then the log of "one" tells of its attempt and of its refusal
+
+  Scenario: A peer of another release sends fields of another shape
+    Given the entries "one" and "two"
+    When a heartbeat whose crashes have another shape reaches "one"
+    Then the log of "one" tells that it did not understand "other"
+    And "/stock/7" is answered 200
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import re
+import socket
 import threading
 import time
 import uuid
@@ -11,6 +12,7 @@
 from behave import then
 from behave import when
 
+from dogwoodwheel.entry import heartbeats
 from features import entry_builders
 from features import entry_fleet
 from features.standins import process
@@ -558,3 +560,23 @@
     assert attempts and refusals, fleet.tails()
     assert attempts[0]["outcome"].startswith("broken")
     assert refusals[0]["status"] == 502 and refusals[0]["run"] == "unknown"
+
+
+@when('a heartbeat whose crashes have another shape reaches "{name}"')
+def step_other_shape(context, name):
+    fields = context.fleet.entries[name][1]
+    port = int(fields["portRange"].partition(",")[0])
+    datagram = heartbeats.encode_datagram(
+        entry_builders.heartbeat("other", crashes=(("e1", 1.0),))
+    )
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.sendto(datagram, (fields["ip"], port))
+
+
+@then('the log of "{name}" tells that it did not understand "{peer}"')
+def step_not_understood(context, name, peer):
+    lines = process.wait_for(
+        lambda: context.fleet.log(name, "heartbeats: fields not understood"),
+        what="a log line about the heartbeat",
+    )
+    assert lines[0]["peer"] == peer and lines[0]["why"], lines
