Send no request again whose engine crashed as its answer began

The log of such a request said that its sections were not known as sound even if they had just been answered, and the postmortem said that it is then sent again. It was, but only if one of its sections had been in flight at another crash: the time of an answer was looked up among the sections of known crashes.

So no such request is sent again, whatever is known of its sections; its caller gets 502 and decides.

No new feature: query_of_death.feature bounds the crashes, before and after.

--- a/dogwoodwheel/entry/prompt_guard.py
+++ b/dogwoodwheel/entry/prompt_guard.py
@@ -131,8 +131,8 @@
         Returns
         -------
         bool
-            Whether this request is likely to crash the next endpoint: the
-            answer had just begun, and not all sections are known as sound.
+            Whether this request is likely to crash the next endpoint, as the
+            answer had just begun.
         """
         if (
             not self._sections
@@ -143,9 +143,6 @@
         now = trio.current_time()
         detector = self._components.query_of_death_detector
         has_begun = self._has_begun and not self._event_count
-        is_known_sound = detector.is_sound(
-            self._sections, now - query_of_death.CRASH_MAX_AGE_S
-        )
         self._components.metrics.count_crash_suspect()
         logger.info(
             "query of death: suspected",
@@ -154,9 +151,8 @@
             sections=",".join(self._sections),
             begun=self._has_begun,
             events=self._event_count,
-            known_sound=is_known_sound,
         )
         detector.record_crash(endpoint.id, self._sections, has_begun, now)
         if has_begun:
             self._components.heartbeats.send_soon()
-        return has_begun and not is_known_sound
+        return has_begun
--- a/dogwoodwheel/entry/query_of_death.py
+++ b/dogwoodwheel/entry/query_of_death.py
@@ -168,11 +168,6 @@
                 return quarantine
         return None
 
-    def is_sound(self, sections, since):
-        """Return whether all sections were proved sound after a time."""
-        sound_since = self._all_sound_since()
-        return all(sound_since.get(s, -math.inf) > since for s in sections)
-
     def expire(self, now):
         """Forget crashes and end quarantines that are too old."""
         if self._crashes:
