--- a/dogwoodwheel/entry/heartbeats.py
+++ b/dogwoodwheel/entry/heartbeats.py
@@ -13,21 +13,15 @@
 import math
 import random
 import socket
-import zlib
 
 from loguru import logger
 import trio
 
+from dogwoodwheel.entry import datagrams
 from dogwoodwheel import exceptions
-from dogwoodwheel.wire import codec
 from dogwoodwheel.wire import messages
 
-__all__ = [
-    "HeartbeatExchange",
-    "Peer",
-    "encode_datagram",
-    "full_heartbeat_interval_s",
-]
+__all__ = ["HeartbeatExchange", "Peer", "full_heartbeat_interval_s"]
 
 # The interval of full heartbeats is INTERVAL_PER_ENTRY_S times the number of
 # entries, but at least MIN_INTERVAL_S.  An entry then receives at most
@@ -61,22 +55,6 @@
 MIN_RECEIVE_WAIT_S = 0.001
 # Maximum age of `HeartbeatExchange.live_peer_count`.
 LIVE_COUNT_MAX_AGE_S = 0.1
-LENGTH_PREFIX_BYTES = codec.LENGTH_PREFIX.size
-# Level of zlib.  Heartbeats are compressed, because traffic between
-# availability zones costs more than the CPU time of the compression.
-COMPRESSION_LEVEL = 6
-# Preset dictionary of zlib: bytes that most heartbeats contain.  The
-# dictionary makes small heartbeats shorter.  Releases with different
-# dictionaries cannot read each other's heartbeats.
-COMPRESSION_DICTIONARY = (
-    b"EndpointRows\xa5age_s\xa4rows\xa8starting\xa7leaving\xa8outcomes"
-    b"\xa1v\x01\xa1k\xa9EntryBeat\xa1r\xc2\xa1f\xde\x00\x12\xa2id\xcd"
-    b"\xa4name\xa6front-\xabincarnation\xd9 \xa4zone\xa5peers"
-    b"\xa5front\xa5state\xa7serving\xaeconfig_version"
-    b"\xabstore_age_s\xcb?\xaascan_age_s\xcb?\xacoperator_row\xcd"
-    b"\xa5known\x90\xa4load\x80\xa8outcomes\x80\xa5spent\x80"
-    b"\xa5asked\x80\xa7waiting\x80\xa5lease\xc0\xa8holdings\x80"
-)
 
 
 def full_heartbeat_interval_s(entry_count):
@@ -298,7 +276,7 @@
         await self._send_to(addresses, msg)
 
     async def _send_to(self, addresses, msg):
-        datagram = encode_datagram(msg)
+        datagram = datagrams.encode(msg)
         if len(datagram) > MAX_MESSAGE_BYTES:
             logger.warning(
                 "heartbeats: message too large for a datagram",
@@ -335,7 +313,7 @@
 
     def _process_datagram(self, datagram):
         try:
-            msg, _ = codec.decode(_decompress(datagram)[LENGTH_PREFIX_BYTES:])
+            msg = datagrams.decode(datagram)
         except exceptions.WireError as exc:
             logger.warning("heartbeats: malformed datagram", why=str(exc))
             return
@@ -392,25 +370,3 @@
                 del self.peers[name]
                 self.contact_addresses.discard(peer.heartbeat.peers)
                 logger.info("heartbeats: silent peer removed", name=name)
-
-
-def encode_datagram(msg):
-    """Return the datagram that carries a message, as bytes."""
-    return _compress(codec.encode(msg))
-
-
-def _compress(data):
-    compressor = zlib.compressobj(
-        COMPRESSION_LEVEL, zdict=COMPRESSION_DICTIONARY
-    )
-    return compressor.compress(data) + compressor.flush()
-
-
-def _decompress(data):
-    try:
-        decompressor = zlib.decompressobj(zdict=COMPRESSION_DICTIONARY)
-        return decompressor.decompress(data) + decompressor.flush()
-    except zlib.error as exc:
-        raise exceptions.WireError(
-            "a datagram is malformed; is the sender a dogwoodwheel entry?"
-        ) from exc
--- a/dogwoodwheel/entry/query_of_death.py
+++ b/dogwoodwheel/entry/query_of_death.py
@@ -19,7 +19,6 @@
 """
 
 import collections
-import dataclasses
 import functools
 import math
 import random
@@ -27,8 +26,9 @@
 from loguru import logger
 
 from dogwoodwheel.entry import crash_evidence
+from dogwoodwheel.entry import quarantines
 
-__all__ = ["Quarantine", "QueryOfDeathDetector"]
+__all__ = ["QueryOfDeathDetector"]
 
 # Evidence that a crash gives against the sections of a prompt: full if the
 # engine had begun an answer without an event, partial if the request was
@@ -48,10 +48,7 @@
 # section doubles the time for its crashes, up to MAX_QUARANTINE_S.
 CRASH_MAX_AGE_S = 60.0
 MAX_QUARANTINE_S = 3600.0
-# Peers are told of a crash during this fraction of the time for which it is
-# remembered, so that no two entries renew each other's memory of a crash that
-# both are about to forget.
-REPORTED_FRACTION = 0.8
+MAX_REPORTED_AGE_S = quarantines.REPORTED_FRACTION * CRASH_MAX_AGE_S
 # A time that a peer reports again may differ by this from the earlier report.
 MAX_DELAY_JITTER_S = 0.1
 # Upper limits of what one entry remembers and reports.
@@ -61,40 +58,6 @@
 MAX_QUARANTINED_BEFORE = 256
 
 
-@dataclasses.dataclass(frozen=True)
-class Quarantine:
-    """A section whose requests are refused.
-
-    Parameters
-    ----------
-    section : str
-    evidence : float
-        Sum of the evidence of the crashes.
-    crashes : tuple of dogwoodwheel.entry.crash_evidence.Crash
-        Crashes that the section explains, oldest first; not empty.
-    expires_at : float
-        Time of trio's clock at which the quarantine ends if no engine crashes
-        until then.
-    """
-
-    section: str
-    evidence: float
-    crashes: tuple
-    expires_at: float
-
-    @property
-    def endpoints(self):
-        """Endpoints that crashed."""
-        return tuple(crash.endpoint for crash in self.crashes)
-
-    def is_reported(self, now):
-        """Return whether peers are told of the quarantine's crashes."""
-        began_at = self.crashes[-1].crashed_at
-        return now < began_at + REPORTED_FRACTION * (
-            self.expires_at - began_at
-        )
-
-
 class QueryOfDeathDetector:
     """Collects crashes of engines, and quarantines what explains them.
 
@@ -186,7 +149,7 @@
         earlier_quarantines : dict of str to int
             By section that is quarantined: number of earlier quarantines.
         """
-        quarantines = [
+        reported = [
             quarantine
             for quarantine in self.quarantines.values()
             if quarantine.is_reported(now)
@@ -194,8 +157,8 @@
         crashes = [
             crash
             for crash in self._crashes
-            if now - crash.crashed_at < REPORTED_FRACTION * CRASH_MAX_AGE_S
-            or any(crash in quarantine.crashes for quarantine in quarantines)
+            if now - crash.crashed_at < MAX_REPORTED_AGE_S
+            or any(crash in quarantine.crashes for quarantine in reported)
         ]
         sections = {
             section
@@ -220,7 +183,7 @@
             },
             {
                 quarantine.section: self._quarantine_counts[quarantine.section]
-                for quarantine in quarantines
+                for quarantine in reported
                 if quarantine.section in self._quarantine_counts
             },
         )
@@ -299,7 +262,7 @@
             expires_at = crashes[-1].crashed_at + self._duration_s(section)
             if now < expires_at:
                 kept.extend(crashes)
-                self.quarantines[section] = Quarantine(
+                self.quarantines[section] = quarantines.Quarantine(
                     section,
                     evidence,
                     tuple(crashes),
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -12,7 +12,7 @@
 from behave import then
 from behave import when
 
-from dogwoodwheel.entry import heartbeats
+from dogwoodwheel.entry import datagrams
 from features import entry_builders
 from features import entry_fleet
 from features.standins import process
@@ -566,7 +566,7 @@
 def step_other_shape(context, name):
     fields = context.fleet.entries[name][1]
     port = int(fields["portRange"].partition(",")[0])
-    datagram = heartbeats.encode_datagram(
+    datagram = datagrams.encode(
         entry_builders.heartbeat("other", crashes=(("e1", 1.0),))
     )
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
