Log a limit that an endpoint names as no number

A Server-Limit that is no number of at least 0 counted as none, without a line that tells operators why requests are not held back.

The adapter now logs the value, cut to 64 characters. The new scenario (a stand-in engine that names "many") failed before for want of the line; its requests were answered before and are now.

--- a/dogwoodwheel/platform/http_headers.py
+++ b/dogwoodwheel/platform/http_headers.py
@@ -3,6 +3,8 @@
 import dataclasses
 import math
 
+from loguru import logger
+
 from dogwoodwheel.requests import forwarding
 
 __all__ = [
@@ -220,11 +222,17 @@
         together; None if the header is absent or no finite number of at
         least 0.
     """
+    value = reply.header(b"server-limit")
+    if not value:
+        return None
     try:
-        limit = float(reply.header(b"server-limit"))
+        limit = float(value)
     except ValueError:
-        return None
-    return limit if 0.0 <= limit < math.inf else None
+        limit = math.nan
+    if 0.0 <= limit < math.inf:
+        return limit
+    logger.warning("limit: malformed", value=value[:64].decode("latin-1"))
+    return None
 
 
 def reported_request_counts(reply):
--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -24,3 +24,9 @@
     And each engine names a limit of 0 requests a second
     And callers send 4 requests a second to each entry for 5 s
     Then of the last 12 requests all are answered
+
+  Scenario: An endpoint names a limit that is no number
+    Given each engine names a limit of "many" requests a second
+    When callers send 4 requests a second to each entry for 2 s
+    Then of the last 16 requests all are answered
+    And the log of "one" tells of the malformed limit "many"
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -25,6 +25,17 @@
         context.fleet.workers[name].call("set", limit=limit)
 
 
+@given('each {kind} names a limit of "{limit}" requests a second')
+def step_malformed(context, kind, limit):
+    step_limit(context, kind, limit)
+
+
+@then('the log of "{name}" tells of the malformed limit "{limit}"')
+def step_logged(context, name, limit):
+    lines = context.fleet.log(name, "limit: malformed")
+    assert {line["value"] for line in lines} == {limit}, lines
+
+
 @when(
     "callers send {rate:g} requests a second to each entry for {seconds:d} s"
 )
