Do not report a limit that a peer's answer has ended

An entry that started within a minute after a limit had ended could hold requests back for it until the next answer, one second at a limit of 1.

Cause: an entry told its peers of its own newest answer that named the limit, also when it knew from a peer that a newer answer named none. Peers compare the times; an entry that has just started knows neither.

An answer that names a limit is now reported only while the limit holds. The new scenario failed before (the entry took up the limit) and passes.

--- a/dogwoodwheel/entry/rate_limits.py
+++ b/dogwoodwheel/entry/rate_limits.py
@@ -193,9 +193,11 @@
             requests sent.
         """
         self._answers = {
-            endpoint: answer
-            for endpoint, answer in self._answers.items()
-            if now - answer[1] <= MAX_REPORTED_AGE_S
+            endpoint: (limit, answered_at)
+            for endpoint, (limit, answered_at) in self._answers.items()
+            if now - answered_at <= MAX_REPORTED_AGE_S
+            # A peer's newer answer has ended the limit.
+            and (limit is None or endpoint in self._states)
         }
         reports = {
             endpoint: (None, None, sent)
--- a/features/rate_limit_decisions.feature
+++ b/features/rate_limit_decisions.feature
@@ -49,3 +49,10 @@
     When an endpoint names 1 for 10 s and is not asked for 12 s
     And entry 0 is restarted
     Then 1 s later entry 0 knows the limit
+
+  Scenario: An entry starts after a limit has ended
+    Given 3 entries with heartbeats every 0.25 s, 0 of them lost
+    When entry 1 has an answer that names 1 at 5 s
+    And entry 2 has an answer that names none at 6 s
+    And entry 0 is restarted at 7 s
+    Then at 8 s entry 0 knows no limit
--- a/features/steps/rate_limit_replay_steps.py
+++ b/features/steps/rate_limit_replay_steps.py
@@ -78,6 +78,32 @@
     context.replay.restart(index)
 
 
+@when("entry {index:d} has an answer that names {limit} at {now:g} s")
+def step_answer(context, index, limit, now):
+    fleet = context.replay
+    fleet.run(getattr(context, "now", 0.0), now, None, 0.0)
+    fleet.entries[index].record_answer(
+        rate_limit_replay.ENDPOINT,
+        None if limit == "none" else float(limit),
+        now,
+    )
+    context.now = now
+
+
+@when("entry {index:d} is restarted at {now:g} s")
+def step_restarted_at(context, index, now):
+    context.replay.run(context.now, now, None, 0.0)
+    context.replay.restart(index)
+    context.replay.begun.clear()
+    context.now = now
+
+
+@then("at {now:g} s entry {index:d} knows no limit")
+def step_unknown(context, now, index):
+    context.replay.run(context.now, now, None, 0.0)
+    assert not context.replay.begun[index], context.replay.begun
+
+
 @then("{seconds:g} s later entry {index:d} knows the limit")
 def step_known(context, seconds, index):
     _run_without_limit(context, seconds)
