Count waiting requests only where limits hold them back

Each poll of a request that waits for a model summed the waiting requests of all live peers, to estimate a wait for limits, also where no endpoint names one; the result was then not used.

The estimate now begins only if every suited endpoint names a limit, which is when it differs from 0. No decision changes: rate_limits.feature and entry.feature pass as before.

--- a/dogwoodwheel/entry/endpoint_selection.py
+++ b/dogwoodwheel/entry/endpoint_selection.py
@@ -351,9 +351,10 @@
         )
         if _meets_requirements(components, requirements, tracked.endpoint.id)
     ]
-    if not suited:
+    limits = components.endpoint_limits
+    if not suited or any(limits.limit(name) is None for name in suited):
         return 0.0
-    return components.endpoint_limits.wait_s(
+    return limits.wait_s(
         suited,
         trio.current_time(),
         components.refill_fraction(),
