Let the soak wait, and collect crashes, in one place

Two checks collected the crashes of engines and three places waited for an entry to be ready, each with its own copy; Answer.reused was read by nobody.

--- a/features/chaos/entries.py
+++ b/features/chaos/entries.py
@@ -184,11 +184,7 @@
             for thread in threads:
                 thread.join()
             for name in self.entries:
-                process.wait_for(
-                    lambda name=name: self.fleet.ready(name),
-                    READY_S,
-                    f"{name} to be ready",
-                )
+                self._await_ready(name)
             # Bounds of time hold again once all has been well for a while.
             load.wait(2 * entry_checks.CONTACT_S)
             self.leave(self.rng)
@@ -306,6 +302,12 @@
     def _last(self, rng):
         time.sleep(rng.uniform(*SPAN_S))
 
+    def _await_ready(self, name):
+        """Wait for an entry; one that has just started knows no signal yet."""
+        process.wait_for(
+            lambda: self.fleet.ready(name), READY_S, f"{name} to be ready"
+        )
+
     def _entry(self, rng, func):
         """Run a failure of an entry unless another one goes on there."""
         name = rng.choice(tuple(self.entries))
@@ -341,14 +343,12 @@
         """Stop an entry by its signal and start it again."""
 
         def fail(proc):
-            # One that has only just been started knows no signal yet.
-            name = proc.name
-            process.wait_for(
-                lambda: self.fleet.ready(name), READY_S, f"{name} to be ready"
-            )
+            self._await_ready(proc.name)
             code = proc.stop()
             if code != 0:
-                self.log.append((time.time(), f"{name} ended with {code}"))
+                self.log.append(
+                    (time.time(), f"{proc.name} ended with {code}")
+                )
             proc.start()
 
         return self._entry(rng, fail)
@@ -357,12 +357,7 @@
         """Send an entry the signal to read its settings again."""
 
         def fail(proc):
-            # One that has only just been started knows no signal yet.
-            process.wait_for(
-                lambda: self.fleet.ready(proc.name),
-                READY_S,
-                f"{proc.name} to be ready",
-            )
+            self._await_ready(proc.name)
             proc.reload()
 
         return self._entry(rng, fail)
--- a/features/chaos/entry_checks.py
+++ b/features/chaos/entry_checks.py
@@ -54,7 +54,7 @@
         lambda: _withdrawn(run, workers),
         lambda: _orders(orders),
         lambda: _poison(run, workers),
-        lambda: _sound(run, workers),
+        lambda: _sound(run),
         lambda: _closed(run, workers),
         lambda: _limits(run, workers),
         lambda: _ended(run),
@@ -173,13 +173,17 @@
                 yield f"{one.id} got {one.answer.status} with a withdrawn key"
 
 
-def _poison(run, workers):
-    """Check that a section that crashes engines is kept from them."""
-    crashes = sorted(
+def _crash_times(run):
+    return sorted(
         event["at"]
-        for name in workers
+        for name in run.fleet.workers
         for event in run.fleet.history(name, "crash")
     )
+
+
+def _poison(run, workers):
+    """Check that a section that crashes engines is kept from them."""
+    crashes = _crash_times(run)
     if len(crashes) < FREE_CRASHES:
         return
     bound = crashes[FREE_CRASHES - 1] + CONTACT_S
@@ -198,13 +202,9 @@
         yield f"{late} crash engines, {len(crashes)} crashes"
 
 
-def _sound(run, workers):
+def _sound(run):
     """Check that sound requests are served beside those that crash engines."""
-    crashes = sorted(
-        event["at"]
-        for name in workers
-        for event in run.fleet.history(name, "crash")
-    )[:FREE_CRASHES]
+    crashes = _crash_times(run)[:FREE_CRASHES]
     if not crashes:
         return
     quiet = [
--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -29,11 +29,6 @@
     body : bytes
     whole : bool
         Whether the reply ended as its framing says.
-
-    Attributes
-    ----------
-    reused : bool
-        Whether the request was sent on a connection that had been idle.
     """
 
     def __init__(self, status, headers, body, whole):
@@ -41,7 +36,6 @@
         self.headers = headers
         self.body = body
         self.whole = whole
-        self.reused = False
 
     def __repr__(self):
         return f"Answer({self.status}, {self.body!r}, whole={self.whole})"
@@ -245,10 +239,8 @@
         with self._lock:
             idle = self._idle.setdefault(address, [])
             conn = idle.pop() if idle else None
-        is_reused = conn is not None
         conn = conn or _connection(address)
         answer = _exchange(conn, method, path, body, headers)
-        answer.reused = is_reused
         # The client has closed a connection that the reply says will close.
         if answer.whole and conn.sock is not None:
             with self._lock:
