Let the stand-in of the store be restored from a copy

The platform's drill: the store is away for a moment and comes back from a copy some seconds old. Versions go back and are given out again, a read after a version that it does not have gets 410, and the header Store-Era rises by one. The stand-in does the same (command `restore`). Long polls that wait across a restore get no reply, as on a connection that went silent.

--- a/features/standins/platform.py
+++ b/features/standins/platform.py
@@ -68,6 +68,7 @@
             "put": self.put,
             "delete": self.delete,
             "compact": self.rows.forget,
+            "restore": self.restore,
             "outage": self.set_outage,
             "delay": self.set_delay,
             "stale": self.set_stale,
@@ -88,6 +89,14 @@
         """Delete a row as its owner does."""
         self._write([rows_module.Row(table, key)])
 
+    def restore(self, age_s):
+        """Lose what was written in the last seconds; return the new era.
+
+        Long polls that wait get no reply any more.
+        """
+        self.rows.restore(age_s)
+        return self.rows.era
+
     def set_outage(
         self,
         mode,
@@ -148,7 +157,7 @@
             return
         mode = self.outage.take(_service(name, fields), name in WRITES, host)
         if mode == "refuse":
-            await exchange.reply(UNAVAILABLE, {"error": "outage"})
+            await self._reply(exchange, UNAVAILABLE, {"error": "outage"})
             return
         if mode == "hang":
             await self.ended.wait()
@@ -165,7 +174,11 @@
         if mode == "lose":
             exchange.cut()
             return
-        await exchange.reply(status, body)
+        await self._reply(exchange, status, body)
+
+    async def _reply(self, exchange, status, body):
+        era = str(self.rows.era)
+        await exchange.reply(status, body, [("Store-Era", era)])
 
     async def _late(self, exchange, name, fields, delay_s):
         await trio.sleep(delay_s)
@@ -241,11 +254,14 @@
 
     async def _feed(self, fields):
         table, after = fields["table"], int(fields["after"])
-        if after < self.rows.forgotten:
+        if not self.rows.has_history_after(after):
             return COMPACTED, {"error": "history"}
+        era = self.rows.era
         with trio.move_on_after(int(fields["waitMs"]) / 1000):
             while not self.rows.since(table, after):
                 await self.changed.wait()
+                if self.rows.era != era:
+                    await trio.sleep_forever()
         return OK, self._answer(self.rows.since(table, after))
 
     def _write(self, rows):
--- a/features/standins/rows.py
+++ b/features/standins/rows.py
@@ -2,6 +2,7 @@
 
 import base64
 import dataclasses
+import time
 
 __all__ = ["Row", "Rows", "shown"]
 
@@ -19,20 +20,30 @@
 class Rows:
     """Rows written all or nothing, with their history.
 
+    Parameters
+    ----------
+    clock : callable
+        Returns seconds.
+
     Attributes
     ----------
     version : int
         Of the newest write.
     forgotten : int
         Version up to which the history is gone.
+    era : int
+        Rises each time the rows are restored from a copy.
     """
 
-    def __init__(self):
+    def __init__(self, clock=time.monotonic):
         self.version = 0
         self.forgotten = 0
+        self.era = 1
         self.rows = {}
         self.earlier = {}
         self.history = []
+        self._clock = clock
+        self._log = []
 
     def write(self, rows):
         """Write rows, those without a value as deleted."""
@@ -43,6 +54,7 @@
             kept = dataclasses.replace(row, version=self.version)
             self.rows[place] = kept
             self.history.append(kept)
+            self._log.append((self._clock(), kept))
 
     def get(self, table, key, stale=False):
         """Return a row; an absent one has version 0."""
@@ -72,6 +84,21 @@
         self.history.clear()
         self.forgotten = self.version
 
+    def restore(self, age_s):
+        """Go back to a copy of some seconds ago, and begin another era."""
+        copied_at = self._clock() - age_s
+        self._log = [item for item in self._log if item[0] <= copied_at]
+        self.rows = {(row.table, row.key): row for _, row in self._log}
+        self.earlier = {}
+        self.version = max((row.version for _, row in self._log), default=0)
+        self.forgotten = min(self.forgotten, self.version)
+        self.history = [r for r in self.history if r.version <= self.version]
+        self.era += 1
+
+    def has_history_after(self, version):
+        """Return whether the changes after a version are known."""
+        return self.forgotten <= version <= self.version
+
     def dump(self):
         """Return all rows as JSON, by table and key."""
         tables = {}
