Order what the store says by its era and version

Entries had dropped every scan of the registrations since the restore, as their versions were lower than those of before, and started a scan of the operators' table again and again, as heartbeats of all peers named a row that the store had lost.

Cause: versions were taken for an order that outlives the store. After a restore they fall and are given out again with other contents.

Versions now contain the store's era in their upper bits, so that whatever compares them (scans, rows decoded before, long polls, heartbeats, fencing tokens, commits) orders by era and version. Heartbeats tell the era; replies of an earlier era are no news; a long poll that waits across a restore is given up. What an entry knew is newer than the copy: an endpoint that drained does not come back, one that the copy lacks may register again, one that was unknown waits until it registers again or could have been removed, and an evacuation that the copy lacks stays until it can have been written again.

--- a/dogwoodwheel/engines/http.py
+++ b/dogwoodwheel/engines/http.py
@@ -209,6 +209,23 @@
     async def call(self, address, req, timeout_s, max_bytes=MAX_BODY_BYTES):
         """Send a request and return the status and body of its reply.
 
+        As `call_with_headers`, but without the headers.
+
+        Returns
+        -------
+        status : int
+        body : bytes
+        """
+        reply, body = await self.call_with_headers(
+            address, req, timeout_s, max_bytes
+        )
+        return reply.status, body
+
+    async def call_with_headers(
+        self, address, req, timeout_s, max_bytes=MAX_BODY_BYTES
+    ):
+        """Send a request and return its reply and the body of the reply.
+
         Parameters
         ----------
         address : str
@@ -221,7 +238,8 @@
 
         Returns
         -------
-        status : int
+        reply : Reply
+            Its body has been read.
         body : bytes
 
         Raises
@@ -234,7 +252,7 @@
         try:
             with trio.fail_after(timeout_s):
                 async with self.stream(address, req, timeout_s) as reply:
-                    return reply.status, await reply.read(max_bytes)
+                    return reply, await reply.read(max_bytes)
         except trio.TooSlowError as exc:
             raise exceptions.ReplyError(
                 f"{address} did not answer within {timeout_s:.1f} s; "
--- a/dogwoodwheel/entry/fleet_state.py
+++ b/dogwoodwheel/entry/fleet_state.py
@@ -13,7 +13,8 @@
 # have been unavailable.
 MAX_SCAN_INTERVAL_S = 2.0
 # The platform states that endpoints register again within 2 s after an
-# outage of its store; 0.5 s is added for the interval between scans.
+# outage of its store; 0.5 s is added for the interval between scans.  After
+# the store was restored from a copy, registrations are removed again, too.
 REREGISTRATION_S = 2.5
 # Upper limit of the reported age of the last scan.  Also reported before the
 # first scan.
@@ -38,6 +39,8 @@
         at which that scan began; infinite while it is registered.
     row_version : int
         Version of the registration's row in the platform's store.
+    usable_at : float
+        Time of trio's clock before which the endpoint gets no requests.
     """
 
     endpoint: datatypes.Endpoint
@@ -45,9 +48,16 @@
     first_seen_at: float = 0.0
     missing_at: float = math.inf
     row_version: int = 0
+    usable_at: float = -math.inf
 
 
-def merge_scan(tracked_endpoints, registered_endpoints, now, last_scan_at):
+def merge_scan(
+    tracked_endpoints,
+    registered_endpoints,
+    now,
+    last_scan_at,
+    store_was_restored=False,
+):
     """Return the endpoints to track after a scan of the registrations.
 
     Parameters
@@ -59,6 +69,8 @@
     now, last_scan_at : float
         Times of trio's clock at which this scan and the previous one
         began.
+    store_was_restored : bool
+        Whether the store was restored from a copy since the previous scan.
 
     Returns
     -------
@@ -71,6 +83,10 @@
     the first scan after the outage does not find is therefore kept for
     `REREGISTRATION_S`, in which it can register again.  An endpoint that
     any other scan does not find has left and is removed at once.
+
+    Workload: the store is restored from a copy that is some seconds old.
+    Registrations in the copy are older than those of the previous scan, and
+    live endpoints write them again.  See `_merge_copied`.
     """
     merged_endpoints = {}
     for name, (endpoint, row_version) in registered_endpoints.items():
@@ -79,11 +95,16 @@
             merged_endpoints[name] = dataclasses.replace(
                 previous, missing_at=math.inf
             )
-        else:
-            merged_endpoints[name] = TrackedEndpoint(
-                endpoint, now + endpoint.cold_s, now, math.inf, row_version
-            )
-    store_was_unavailable = now - last_scan_at > MAX_SCAN_INTERVAL_S
+            continue
+        registered = TrackedEndpoint(
+            endpoint, now + endpoint.cold_s, now, math.inf, row_version
+        )
+        if store_was_restored:
+            registered = _merge_copied(previous, registered)
+        merged_endpoints[name] = registered
+    store_was_unavailable = (
+        store_was_restored or now - last_scan_at > MAX_SCAN_INTERVAL_S
+    )
     for name, previous in tracked_endpoints.items():
         if name in merged_endpoints:
             continue
@@ -97,6 +118,37 @@
     return merged_endpoints
 
 
+def _merge_copied(previous, registered):
+    """Return the endpoint to track after its row was restored from a copy.
+
+    Parameters
+    ----------
+    previous : TrackedEndpoint or None
+        The endpoint as tracked before the store was restored.
+    registered : TrackedEndpoint
+        The endpoint as registered in the restored store.
+
+    Notes
+    -----
+    An endpoint that was unknown, because it had left or has just started,
+    gets no requests until it registers again, or until it could have been
+    removed again.  An endpoint that was draining, or that has restarted
+    since, is not what the copy says.
+    """
+    if previous is None:
+        usable_at = registered.first_seen_at + REREGISTRATION_S
+        return dataclasses.replace(registered, usable_at=usable_at)
+    copied_at, known_at = (
+        tracked.endpoint.started_ms for tracked in (registered, previous)
+    )
+    is_draining = copied_at == known_at and not registered.endpoint.ready
+    if copied_at > known_at or is_draining:
+        return registered
+    return dataclasses.replace(
+        previous, missing_at=math.inf, row_version=registered.row_version
+    )
+
+
 class FleetState:
     """The configuration, endpoints and loaded models that this entry knows.
 
@@ -111,7 +163,8 @@
         began.
     operator_row : int
         Version of the newest row of the operator's table that this
-        entry has read, including deleted rows.
+        entry has read, including deleted rows.  Contains the store's era,
+        as all versions of `dogwoodwheel.platform.store` do.
     peer_operator_version : int
         Version of the newest row of the operator's table that any peer
         has read.
@@ -155,7 +208,9 @@
         self.evacuated_zones = frozenset(zones)
         self.notify_change()
 
-    def apply_scan(self, registered_endpoints, scan_began_at):
+    def apply_scan(
+        self, registered_endpoints, scan_began_at, store_was_restored=False
+    ):
         """Update the endpoints from a scan of the registrations.
 
         Parameters
@@ -164,12 +219,15 @@
             As for `merge_scan`.
         scan_began_at : float
             Time of trio's clock.
+        store_was_restored : bool
+            As for `merge_scan`.
         """
         self.endpoints = merge_scan(
             self.endpoints,
             registered_endpoints,
             scan_began_at,
             self.scanned_at,
+            store_was_restored,
         )
         self.scanned_at = scan_began_at
         self.notify_change()
@@ -238,10 +296,12 @@
 
     def usable_endpoints(self, service):
         """Return the tracked endpoints of a service that may get requests."""
+        now = trio.current_time()
         return [
             tracked
             for tracked in self.endpoints.values()
             if tracked.endpoint.service == service
+            and tracked.usable_at <= now
             and tracked.endpoint.ready
             and tracked.endpoint.zone not in self.evacuated_zones
         ]
--- a/dogwoodwheel/entry/membership.py
+++ b/dogwoodwheel/entry/membership.py
@@ -139,6 +139,7 @@
             store_age_s=self.store.reply_age_s,
             scan_age_s=fleet_state.scan_age_s,
             operator_row=fleet_state.operator_row,
+            store_era=self.store.era,
             link_mbps=entry_settings.link_mbps,
             known=self._peer_addresses(),
             load=components.request_counts.endpoint_loads(),
@@ -194,6 +195,7 @@
         """
         components = self.components
         now = trio.current_time()
+        self.store.observe_era(heartbeat.store_era)
         if components.fleet_state.config is not None:
             components.quotas.record_peer_usage(
                 previous.spent if previous else None,
@@ -273,19 +275,32 @@
         )
 
     async def run(self):
-        """Register this entry, and scan for peers until cancelled."""
-        is_registered = False
+        """Register this entry, and scan for peers until cancelled.
+
+        Notes
+        -----
+        A store that was restored from a copy may lack the row of this
+        entry, and rows of new peers.
+        """
+        registered_era = None
         scan_count = 0
         while True:
+            era = self.store.era
             try:
-                if not is_registered:
+                if registered_era is None or registered_era < era:
                     await self._register()
-                    is_registered = True
+                    registered_era = era = self.store.era
                 await self._scan_peers()
             except exceptions.PlatformError as exc:
                 logger.info("membership: store unavailable", why=str(exc))
             scan_count += 1
-            await trio.sleep(self._scan_interval_s(scan_count))
+            interval_s = (
+                INITIAL_SCAN_INTERVAL_S
+                if registered_era is None or registered_era < era
+                else self._scan_interval_s(scan_count)
+            )
+            with trio.move_on_after(interval_s):
+                await self.store.wait_for_era_after(era)
 
     def _scan_interval_s(self, scan_count):
         """Return the time until the next scan for peers, in seconds.
--- a/dogwoodwheel/entry/watchers.py
+++ b/dogwoodwheel/entry/watchers.py
@@ -22,6 +22,10 @@
 # row for this time, which is twice the time that the reply to a long poll
 # and a heartbeat need.
 MAX_ROW_LAG_S = 0.5
+# After the store is restored from a copy, what the operators wrote after the
+# copy was made is written again.  For this time, an evacuation that the copy
+# lacks is taken to be in force.
+REWRITE_S = 3.0
 # Interval of scans of the endpoints, as a fraction of the drain time, after
 # which a draining endpoint must get no requests.  A scan whose reply was lost
 # can be repeated within the drain time: if that time is 2 s, the interval, two
@@ -92,6 +96,7 @@
 
     def receive_scan(self, msg):
         """Apply a scan of a peer if it is newer than the last applied one."""
+        self._store.observe_era(store_module.era_of(msg.version))
         rows = [
             store_module.Row(registrations.TABLE, *row) for row in msg.rows
         ]
@@ -122,14 +127,21 @@
         A newer scan began later, and its version of the store is not
         older.  Comparing the times does not suffice, because a VM that was
         suspended may take an old reply of the store for a new one.
+        Versions contain the store's era, so they also show which of two
+        scans was made after the store was restored from a copy.
         """
         if (
             store_version < self._store_version
             or scan_began_at <= self._fleet_state.scanned_at
         ):
             return False
+        store_was_restored = self._store_version and store_module.era_of(
+            self._store_version
+        ) < store_module.era_of(store_version)
         self._store_version = store_version
-        self._fleet_state.apply_scan(self._reader.read(rows), scan_began_at)
+        self._fleet_state.apply_scan(
+            self._reader.read(rows), scan_began_at, store_was_restored
+        )
         return True
 
     async def _send_scan(self, snapshot, scan_began_at):
@@ -201,15 +213,18 @@
         self.heartbeats = heartbeats
         self.store_version = None
         self.evacuated_zones = set()
+        # Evacuated zones that the restored store does not list, and the time
+        # at which their evacuation ends.
+        self.unconfirmed_zones = set()
+        self.unconfirmed_until = 0.0
+        self._scanned_era = 0
         self._poll_scope = trio.CancelScope()
 
     async def scan_or_poll(self):
         """Read the whole table first, and in later calls only its changes."""
         if self.store_version is None:
             snapshot = await self.store.scan(operator_table.TABLE)
-            self.evacuated_zones.clear()
-            self._apply_rows(snapshot.rows)
-            self.fleet_state.set_evacuated_zones(self.evacuated_zones)
+            self._apply_snapshot(snapshot)
         else:
             try:
                 snapshot = await self._poll_changes()
@@ -222,17 +237,52 @@
             if snapshot is None:
                 logger.info(
                     "operator: peers know a newer version, scanning again",
-                    row=self.fleet_state.operator_row,
-                    told=self.fleet_state.peer_operator_version,
+                    row=store_module.describe_version(
+                        self.fleet_state.operator_row
+                    ),
+                    told=store_module.describe_version(
+                        self.fleet_state.peer_operator_version
+                    ),
+                    era=self.store.era,
                 )
                 self.store_version = None
                 return
-            previous_zones = set(self.evacuated_zones)
             self._apply_rows(snapshot.rows)
-            if self.evacuated_zones != previous_zones:
-                self.fleet_state.set_evacuated_zones(self.evacuated_zones)
+        self._publish_evacuated_zones()
         self.store_version = snapshot.version
 
+    def _apply_snapshot(self, snapshot):
+        """Apply all rows of the table.
+
+        Notes
+        -----
+        What this entry read before the store was restored is newer than the
+        copy.  A configuration has a version of its own, which shows that.  An
+        evacuation that the copy lacks stays in force until it can have been
+        written again.
+        """
+        known_zones = self.evacuated_zones | self.unconfirmed_zones
+        self.evacuated_zones.clear()
+        self._apply_rows(snapshot.rows)
+        era = store_module.era_of(snapshot.version)
+        if self._scanned_era and era > self._scanned_era:
+            self.unconfirmed_zones = known_zones - self.evacuated_zones
+            self.unconfirmed_until = trio.current_time() + REWRITE_S
+            logger.warning(
+                "operator: read again from the restored store",
+                era=era,
+                row=store_module.describe_version(snapshot.version),
+                unconfirmed=sorted(self.unconfirmed_zones),
+            )
+        self._scanned_era = max(self._scanned_era, era)
+
+    def _publish_evacuated_zones(self):
+        if trio.current_time() >= self.unconfirmed_until:
+            self.unconfirmed_zones.clear()
+        zones = self.evacuated_zones | self.unconfirmed_zones
+        if zones != self.fleet_state.evacuated_zones:
+            self.fleet_state.set_evacuated_zones(zones)
+
     async def _poll_changes(self):
         """Return changed rows, or None if `compare_with_peers` cancels."""
         timeout_s = (
@@ -240,6 +290,8 @@
             if self.heartbeats.is_large_fleet
             else LONG_POLL_TIMEOUT_S
         )
+        if self.unconfirmed_zones:
+            timeout_s = REWRITE_S
         with trio.CancelScope() as self._poll_scope:
             return await self.store.poll_changes(
                 operator_table.TABLE, self.store_version, timeout_s
@@ -252,16 +304,19 @@
         -----
         If the connection to the store fails without a reset, changes no
         longer arrive at this entry.  The heartbeats of peers with working
-        connections show that the table has changed.
+        connections show that the table has changed, or that the store was
+        restored.
         """
         while True:
             previous_version = self.store_version
             await trio.sleep(MAX_ROW_LAG_S)
-            newest_version = self.fleet_state.peer_operator_version
-            if (
-                previous_version is not None
-                and previous_version == self.store_version < newest_version
+            if previous_version is None or (
+                previous_version != self.store_version
             ):
+                continue
+            newest_version = self.fleet_state.peer_operator_version
+            known_era = store_module.era_of(previous_version)
+            if previous_version < newest_version or known_era < self.store.era:
                 self._poll_scope.cancel()
 
     def _apply_rows(self, rows):
@@ -276,6 +331,7 @@
 
     def _apply_evacuation(self, row):
         zone = row.key[len(operator_table.EVACUATION_PREFIX) :]
+        self.unconfirmed_zones.discard(zone)
         if row.value is None:
             self.evacuated_zones.discard(zone)
         else:
@@ -284,7 +340,7 @@
             "operator: evacuation",
             zone=zone,
             evacuated=row.value is not None,
-            row=row.version,
+            row=store_module.describe_version(row.version),
         )
 
     def _apply_configuration(self, row):
@@ -295,7 +351,7 @@
         except exceptions.DeclarationError as exc:
             logger.error(
                 "operator: malformed configuration",
-                row=row.version,
+                row=store_module.describe_version(row.version),
                 why=exc.faults[0],
             )
             return
@@ -303,7 +359,7 @@
             logger.info(
                 "operator: configuration",
                 version=config.version,
-                row=row.version,
+                row=store_module.describe_version(row.version),
                 routes=sum(map(len, config.routes.values())),
                 keys=len(config.keys),
             )
@@ -348,7 +404,7 @@
                     zone=endpoint.zone,
                     ready=endpoint.ready,
                     cold_s=round(endpoint.cold_s, 1),
-                    row=version,
+                    row=store_module.describe_version(version),
                 )
         for name in self._previous_endpoints.keys() - endpoints.keys():
             logger.info("endpoints: no longer registered", id=name)
--- a/dogwoodwheel/platform/store.py
+++ b/dogwoodwheel/platform/store.py
@@ -1,4 +1,14 @@
-"""Client of the platform's store of rows and objects."""
+"""Client of the platform's store of rows and objects.
+
+Notes
+-----
+The platform may restore the store from a copy that is some seconds old.  The
+store then gives out version numbers again that it has given out before, and
+its era, a number that all its replies contain, rises by one.  The versions of
+this module therefore contain the era in their upper bits, so that versions of
+a later era are always higher.  Versions of earlier eras say nothing about the
+rows that the store has now.
+"""
 
 import base64
 import dataclasses
@@ -6,12 +16,20 @@
 import math
 import urllib.parse
 
+from loguru import logger
 import trio
 
 from dogwoodwheel.engines import http
 from dogwoodwheel import exceptions
 
-__all__ = ["Row", "Rows", "Store"]
+__all__ = [
+    "Row",
+    "Rows",
+    "Store",
+    "describe_version",
+    "era_of",
+    "era_start",
+]
 
 # A call usually takes 4 ms.  If it has not returned after CALL_TIMEOUT_S, a
 # retry on another connection is more likely to succeed.
@@ -32,6 +50,32 @@
 # HTTP status if the store has discarded changes that a long poll asks for.
 COMPACTED = 410
 REQUEST_HEADERS = ((b"content-type", b"application/json"),)
+ERA_HEADER = b"store-era"
+# Versions of later eras would not fit into 53 bits, the integers that every
+# JSON library reads exactly.
+MAX_ERA = (1 << 13) - 1
+MAX_ERA_DIGITS = len(str(MAX_ERA))
+# Number of low bits of a version that contain the store's own number.
+ERA_SHIFT = 40
+
+
+def era_start(era):
+    """Return the version of an empty store in an era."""
+    return era << ERA_SHIFT
+
+
+def era_of(version):
+    """Return the era of a version; 0 if it stands for an absent row."""
+    return version >> ERA_SHIFT
+
+
+def describe_version(version):
+    """Return a version as ``ERA/NUMBER``, for log lines."""
+    return f"{era_of(version)}/{_number_of(version)}"
+
+
+def _number_of(version):
+    return version & ((1 << ERA_SHIFT) - 1)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,8 +86,9 @@
     ----------
     table, key : str
     version : int
-        Version of the store at the last write of this row; 0 if the row
-        is absent.  Each write of any row increases the store's version.
+        Version of the store at the last write of this row, with the era
+        in which it was read; 0 if the row is absent.  Each write of any
+        row increases the store's version.
     value : bytes or None
         None if the row is deleted or absent.
     """
@@ -84,19 +129,39 @@
         Number of calls made so far.
     last_reply_at : float
         Time of the store's last reply, seconds of trio's clock.
+    era : int
+        Latest known era of the store; rises when it is restored.  0 if
+        unknown.
     """
 
     def __init__(self, address, http_client):
         self.address = address
         self.call_count = 0
         self.last_reply_at = -math.inf
+        self.era = 0
         self._http_client = http_client
+        self._era_risen = trio.Event()
 
     @property
     def reply_age_s(self):
         """Seconds since the last reply of the store."""
         return min(trio.current_time() - self.last_reply_at, MAX_REPLY_AGE_S)
 
+    def observe_era(self, era):
+        """Record an era that a reply of the store, or a peer, has named."""
+        if era <= self.era:
+            return
+        if self.era:
+            logger.warning("store: restored", era=era, before=self.era)
+        self.era = era
+        self._era_risen.set()
+        self._era_risen = trio.Event()
+
+    async def wait_for_era_after(self, era):
+        """Wait until the store is known to be in a later era."""
+        while self.era <= era:
+            await self._era_risen.wait()
+
     async def scan(
         self, table, first_key="", end_key="", timeout_s=CALL_TIMEOUT_S
     ):
@@ -122,16 +187,22 @@
             If a call fails.
         """
         rows = []
-        version = None
+        first_era = version = None
         while True:
             query = {"table": table, "part": "", "limit": str(MAX_PAGE_ROWS)}
             if first_key:
                 query["from"] = first_key
             if end_key:
                 query["to"] = end_key
-            body = await self._get("rows-get", query, timeout_s)
-            rows.extend(_parse_row(row) for row in body["rows"])
-            version = body["ver"] if version is None else version
+            body, era = await self._get("rows-get", query, timeout_s)
+            if first_era not in (None, era):
+                raise exceptions.PlatformError(
+                    "the store was restored during a scan; scan again"
+                )
+            rows.extend(_parse_row(row, era) for row in body["rows"])
+            if version is None:
+                first_era = era
+                version = era_start(era) + body["ver"]
             if not body.get("hasMore"):
                 return Rows(tuple(rows), version)
             first_key = rows[-1].key + "\0"
@@ -163,19 +234,30 @@
         Raises
         ------
         HistoryLostError
-            If the store has discarded changes since `after_version`; the
-            caller must read the whole table.
+            If the store has discarded changes since `after_version`, or
+            was restored; the caller must read the whole table.
         PlatformError
             If the call fails.
         """
-        query = {
-            "table": table,
-            "after": str(after_version),
-            "waitMs": str(int(wait_s * 1000)),
-        }
-        body = await self._get("rows-feed", query, wait_s + CALL_TIMEOUT_S)
-        rows = tuple(_parse_row(row) for row in body["rows"])
-        return Rows(rows, body["ver"])
+        self.observe_era(era_of(after_version))
+        era = self.era
+        if era_of(after_version) == era:
+            query = {
+                "table": table,
+                "after": str(_number_of(after_version)),
+                "waitMs": str(int(wait_s * 1000)),
+            }
+            body, era = await self._get(
+                "rows-feed", query, wait_s + CALL_TIMEOUT_S
+            )
+        if era_of(after_version) != era:
+            # The store may have the number, but with other changes before.
+            raise exceptions.HistoryLostError(
+                "the store was restored since that version; read the whole "
+                "table"
+            )
+        rows = tuple(_parse_row(row, era) for row in body["rows"])
+        return Rows(rows, era_start(era) + body["ver"])
 
     async def commit(
         self, expected_rows, writes, deletes=(), timeout_s=CALL_TIMEOUT_S
@@ -202,16 +284,26 @@
         Raises
         ------
         ConflictError
-            If an expected row has another version; no row was changed.
+            If an expected row has another version, or one of an earlier
+            era; no row was changed.
         OutcomeUnknownError
-            If the commit was sent and no reply came.  The commit may have
-            taken effect, or may do so later if the versions match then.
+            If the commit was sent and no reply came, or the store was
+            restored meanwhile.  The commit may have taken effect, or may
+            do so later if the versions match then.
         PlatformError
             If the commit failed and no row was changed.
         """
+        eras = {era_of(r.version) for r in expected_rows if r.version}
+        self.observe_era(max(eras, default=0))
+        if eras - {self.era}:
+            raise exceptions.ConflictError(
+                "a row has a version from before the store was restored; "
+                "read the row and try again"
+            )
         body = {
             "expected": [
-                {**_key_fields(r), "ver": r.version} for r in expected_rows
+                {**_key_fields(r), "ver": _number_of(r.version)}
+                for r in expected_rows
             ],
             "writes": [
                 {**_key_fields(r), "value": base64.b64encode(r.value).decode()}
@@ -219,10 +311,15 @@
             ],
             "remove": [_key_fields(r) for r in deletes],
         }
-        reply = await self._call(
+        reply, era = await self._call(
             "POST", b"/api/rows-tx", json.dumps(body).encode(), timeout_s
         )
-        return reply["ver"]
+        if eras - {era}:
+            raise exceptions.OutcomeUnknownError(
+                "the store was restored during a commit; read the row again "
+                "to learn the outcome"
+            )
+        return era_start(era) + reply["ver"]
 
     async def put_object(self, name, data):
         """Store an object, as bytes, under a name.
@@ -246,16 +343,17 @@
             If the name is unknown or the store does not reply.
         """
         target = f"/api/blob-get/{name}".encode()
-        return await self._send("GET", target, b"", OBJECT_TIMEOUT_S)
+        data, _ = await self._send("GET", target, b"", OBJECT_TIMEOUT_S)
+        return data
 
     async def _get(self, name, query, timeout_s=CALL_TIMEOUT_S):
         target = f"/api/{name}?{urllib.parse.urlencode(query)}".encode()
         return await self._call("GET", target, b"", timeout_s)
 
     async def _call(self, method, target, body, timeout_s):
-        data = await self._send(method, target, body, timeout_s)
+        data, era = await self._send(method, target, body, timeout_s)
         try:
-            return json.loads(data)
+            return json.loads(data), era
         except ValueError as exc:
             raise exceptions.OutcomeUnknownError(
                 "the store's reply is malformed; after a write, read the row "
@@ -263,10 +361,11 @@
             ) from exc
 
     async def _send(self, method, target, body, timeout_s):
+        """Return the body of the reply, and the era in which it was given."""
         self.call_count += 1
         request = http.Request("", method, target, REQUEST_HEADERS, body)
         try:
-            status, data = await self._http_client.call(
+            reply, data = await self._http_client.call_with_headers(
                 self.address, request, timeout_s, MAX_REPLY_BYTES
             )
         except exceptions.NotSentError as exc:
@@ -279,10 +378,18 @@
                 "the store did not reply; after a write, read the row again "
                 "to learn the outcome"
             ) from exc
+        status = reply.status
+        era = _parse_era(reply)
+        self.observe_era(era)
+        if era < self.era and status in (OK, CONFLICT, COMPACTED):
+            raise exceptions.OutcomeUnknownError(
+                "the reply is from before the store was restored; after a "
+                "write, read the row again to learn the outcome"
+            )
         if status in (OK, CONFLICT, COMPACTED):
             self.last_reply_at = trio.current_time()
         _raise_for_status(status, target)
-        return data
+        return data, era
 
 
 def _raise_for_status(status, target):
@@ -303,11 +410,24 @@
         )
 
 
+def _parse_era(reply):
+    """Return the era that a reply names; 0 for none."""
+    value = reply.header(ERA_HEADER)
+    if value.isdigit() and len(value) <= MAX_ERA_DIGITS:
+        era = int(value)
+        if era <= MAX_ERA:
+            return era
+    if value:
+        logger.warning("store: malformed era", value=value[:40])
+    return 0
+
+
 def _key_fields(row):
     return {"table": row.table, "part": "", "key": row.key}
 
 
-def _parse_row(raw):
+def _parse_row(raw, era):
     deleted = raw.get("deleted") or raw.get("value") is None
     value = None if deleted else base64.b64decode(raw["value"])
-    return Row(raw["table"], raw["key"], raw["ver"], value)
+    version = era_start(era) + raw["ver"]
+    return Row(raw["table"], raw["key"], version, value)
--- a/dogwoodwheel/wire/messages.py
+++ b/dogwoodwheel/wire/messages.py
@@ -320,7 +320,10 @@
         Seconds since the platform's store last answered the entry, and
         since some entry read the rows of endpoints that this one uses.
     operator_row : int
-        Version of the newest operators' row that the entry has read.
+        Version of the newest operators' row that the entry has read, with
+        the store's era in its upper bits.
+    store_era : int
+        Latest era of the platform's store that the entry knows.
     link_mbps : float
         Bandwidth of the VM's network link, Mbit/s; 0 if unknown.
     known : tuple of str
@@ -369,6 +372,7 @@
     store_age_s: float = 0.0
     scan_age_s: float = 0.0
     operator_row: int = 0
+    store_era: int = 0
     link_mbps: float = 0.0
     known: tuple = ()
     load: dict = dataclasses.field(default_factory=dict)
--- a/features/steps/entry_fleets_steps.py
+++ b/features/steps/entry_fleets_steps.py
@@ -1,8 +1,6 @@
 """Steps that play large fleets of entries on a clock of the test."""
 
-import collections
 import math
-import random
 
 from behave import then
 from behave import when
@@ -16,17 +14,15 @@
 from dogwoodwheel.platform import registrations
 from dogwoodwheel.platform import store as store_module
 from dogwoodwheel.wire import messages
+from features import datagram_net
 from features import entry_builders
 
 DRAIN_S = 3.0
 CALL_S = 0.004
-LINK_S = 0.0014
 SETTLED_S = 8.0
 TICK_S = 0.05
 ENDPOINTS = 50
 LOST_PART = 0.1
-HEADER_BYTES = 46
-LINK_BYTES_PER_S = 2.5e6
 # Units charged to customers, as in the heartbeats of a busy fleet.
 SPENT = {f"customer-{n}": 1e5 * n * math.pi for n in range(20)}
 ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
@@ -67,6 +63,10 @@
         self.name = name
         self.hangs = False
         self.reply_age_s = 0.0
+        self.era = 0
+
+    def observe_era(self, era):
+        """Do nothing, as this store is never restored."""
 
     async def scan(self, table, timeout_s=1.0):
         if table == registrations.TABLE:
@@ -82,54 +82,6 @@
         return store_module.Rows(tuple(rows), self.store.version)
 
 
-class Socket:
-    """Datagrams of one address over the test's network."""
-
-    def __init__(self, net):
-        self.net = net
-        self.send, self.receive = trio.open_memory_channel(10000)
-
-    async def sendto(self, frame, place):
-        await self.net.carry(frame, "{}:{}".format(*place))
-
-    async def recvfrom(self, size):
-        return await self.receive.receive(), None
-
-
-class Net:
-    """Carries datagrams; some are lost.
-
-    A receiver's link passes `LINK_BYTES_PER_S`, and drops what arrives while
-    `queue_bytes` wait.
-    """
-
-    def __init__(self, nursery, lost_part, queue_bytes=math.inf):
-        self.queue_bytes = queue_bytes
-        self.nursery = nursery
-        self.lost_part = lost_part
-        self.rng = random.Random(5)
-        self.sockets = {}
-        self.carried = collections.Counter()
-        self.link_free_at = collections.defaultdict(float)
-        self.dropped = 0
-
-    async def carry(self, frame, address):
-        self.carried[address] += 1
-        size = len(frame) + HEADER_BYTES
-        now = trio.current_time()
-        free_at = max(now, self.link_free_at[address])
-        if (free_at - now) * LINK_BYTES_PER_S + size > self.queue_bytes:
-            self.dropped += 1
-            return
-        self.link_free_at[address] = free_at + size / LINK_BYTES_PER_S
-        if self.rng.random() >= self.lost_part:
-            self.nursery.start_soon(self._deliver, frame, address)
-
-    async def _deliver(self, frame, address):
-        await trio.sleep(LINK_S)
-        self.sockets[address].send.send_nowait(frame)
-
-
 class Entry:
     """An entry of a fleet: its board and what it follows."""
 
@@ -143,7 +95,9 @@
         self.heartbeats = heartbeats_module.HeartbeatExchange(self.cfg.peers)
         self.heartbeats.compose = self.compose
         self.heartbeats.on_heartbeat = self.receive_heartbeat
-        self.heartbeats._sock = net.sockets[self.cfg.peers] = Socket(net)
+        self.heartbeats._sock = net.sockets[self.cfg.peers] = (
+            datagram_net.Socket(net)
+        )
         self.heartbeats.is_leader = lambda: self.is_leader
         self.endpoints = watchers.EndpointWatcher(
             self.client, self.known, self.heartbeats, self.cfg
@@ -200,7 +154,9 @@
 
     async def _main(self, story):
         async with trio.open_nursery() as nursery:
-            self.net = Net(nursery, self.lost_part, self.queue_bytes)
+            self.net = datagram_net.Net(
+                nursery, self.lost_part, self.queue_bytes
+            )
             self.entries = [
                 Entry(n, self.zones[n % len(self.zones)], self.store, self.net)
                 for n in range(self.count)
@@ -369,7 +325,7 @@
 def step_older_read(context):
     async def main():
         async with trio.open_nursery() as nursery:
-            entry = Entry(1, "zone-a", Store(), Net(nursery, 0.0))
+            entry = Entry(1, "zone-a", Store(), datagram_net.Net(nursery, 0.0))
             rows = [
                 (row.key, row.version, row.value)
                 for row in Store().rows(registrations.TABLE)
