Take no row of a restored store for who holds the lease

The row of a copy names a holder of before; an entry that found its own name there took the lease at once, while the entry that had taken over since still held it, or had just ordered.

The row now says in which era it was written. A row of an earlier era, or none, frees the lease only after it has not changed for the time that a renewal is valid, which is counted anew in each era. A holder whose lease is still valid writes its row again. A new holder names as its predecessor who claimed the lease last, where the row cannot tell, and an entry that held the lease itself lately waits as for a lease that it takes back. Fencing tokens contain the era and so keep rising.

Ruled out: extension of leases while the store is away; it ends before another entry may take the lease in the new era.

The replay of leases now runs the entries' own client of the store, loses heartbeats too, and restores the store.

--- a/dogwoodwheel/entry/lease.py
+++ b/dogwoodwheel/entry/lease.py
@@ -3,15 +3,23 @@
 Notes
 -----
 The fencing token is the version that the lease's row has after a take-over.
-A lease is valid for `VALIDITY_S` after its holder sent the last successful
-renewal.  Another entry takes the lease over only if the row's version has not
-changed for `VALIDITY_S`.  If the store answers other entries but not the
-holder, the holder gives the lease up and says so in its heartbeats.  An entry
-that takes the lease back from its successor sends no orders for the platform's
-minimum gap, so that orders of two holders never alternate.
+Versions contain the era of the store, so that tokens rise even if the store is
+restored from a copy and gives out its numbers again.  A lease is valid for
+`VALIDITY_S` after its holder sent the last successful renewal.  Another entry
+takes the lease over only if the row's version has not changed for
+`VALIDITY_S`.  If the store answers other entries but not the holder, the
+holder gives the lease up and says so in its heartbeats.  An entry that takes
+the lease back from its successor sends no orders for the platform's minimum
+gap, so that orders of two holders never alternate.
+
+The row of a restored store says nothing about who holds the lease: the holder
+may have changed since the copy was made.  Until the row has been written in
+the store's new era, the lease is free only after the row has not changed for
+`VALIDITY_S`.  A holder whose lease is still valid writes the row again.
 """
 
 import functools
+import math
 import time
 import uuid
 
@@ -73,6 +81,9 @@
         Returns seconds; must also advance while the VM is suspended.
     link_mbps : float
         Bandwidth of the VM's network link, megabits a second.
+    first_start : bool
+        Whether the whole fleet starts for the first time, so that no row
+        means that nobody has held the lease.
 
     Attributes
     ----------
@@ -85,7 +96,14 @@
     """
 
     def __init__(
-        self, store, name, gap_s, heartbeats, clock=boottime, link_mbps=0.0
+        self,
+        store,
+        name,
+        gap_s,
+        heartbeats,
+        clock=boottime,
+        link_mbps=0.0,
+        first_start=False,
     ):
         self.fencing_token = 0
         self.leaving = False
@@ -96,14 +114,20 @@
         self._heartbeats = heartbeats
         self._clock = clock
         self._link_mbps = link_mbps
+        self._first_start = first_start
         self._has_waited_for_peers = False
         self._row_version = None
         self._ends_at = 0.0
         self._renewed_at = 0.0
         self._orders_allowed_at = 0.0
         # Newest known version of the lease's row, and the time at which
-        # this entry learned of that version.
+        # this entry learned of that version.  If the row is absent, the
+        # start of the store's era stands for its version.
         self._newest_known_version = (-1, 0.0)
+        # Time until which this entry may have sent orders, by `clock`.
+        self._last_held_until = -math.inf
+        # Name of the peer that claimed the lease last.
+        self._last_claimant = ""
         self._term_id = ""
         self._previous_holder = ""
         self._given_up_version = 0
@@ -178,7 +202,7 @@
             if not self.is_held or self._ends_at - now > EXTENSION_S:
                 continue
             if self._no_peer_can_acquire(now):
-                self._ends_at = now + EXTENSION_S
+                self._extend_until(now + EXTENSION_S)
 
     def _no_peer_can_acquire(self, now):
         live_peers = self._heartbeats.live_peers()
@@ -211,22 +235,49 @@
 
     async def _renew(self):
         began_at = self._clock()
-        row = await self._write_row(self._expected_row())
-        if row.version == self._row_version:
+        expected = self._expected_row()
+        if self._is_before_restore(expected):
+            expected = await self._store.read(TABLE, ROW_KEY, CALL_TIMEOUT_S)
+            if not self.is_held:
+                raise exceptions.ConflictError(
+                    "the store was restored, and the lease has ended"
+                )
+            logger.info(
+                "lease: renewed in the restored store",
+                token=self.fencing_token,
+                row=store_module.describe_version(expected.version),
+            )
+        try:
+            row = await self._write_row(expected)
+        except exceptions.ConflictError:
+            if self.is_held and self._is_before_restore(self._expected_row()):
+                # The conflict told of the restore; `run` renews again at once.
+                return
+            raise
+        if row.version == expected.version:
             # The write did not take effect; `run` renews again at once.
             return
         self._row_version = row.version
         self._renewed_at = began_at
-        self._ends_at = began_at + VALIDITY_S
+        self._extend_until(began_at + VALIDITY_S)
         await trio.sleep(RENEWAL_INTERVAL_S)
 
+    def _is_before_restore(self, row):
+        """Return whether the store was restored since a row was read."""
+        return store_module.era_of(row.version) < self._store.era
+
+    def _extend_until(self, ends_at):
+        self._ends_at = ends_at
+        self._last_held_until = max(self._last_held_until, ends_at)
+
     async def _write_row(self, expected):
         """Write the lease's row; return the row stored after the write.
 
         Raises
         ------
         ConflictError
-            If another entry wrote the row, or this entry did in another term.
+            If another entry wrote the row, this entry did in another term,
+            or the store was restored.
         PlatformError
             If the write failed or its outcome stays unknown.
         """
@@ -242,6 +293,10 @@
             # This write or a delayed earlier write may have taken effect;
             # the stored row shows whether one of them did.
             row = await self._store.read(TABLE, ROW_KEY, CALL_TIMEOUT_S)
+            if expected.version and self._is_before_restore(expected):
+                raise exceptions.ConflictError(
+                    "the store was restored during a write"
+                ) from exc
             if self._is_from_this_term(row) or row.version == expected.version:
                 return row
             raise exceptions.ConflictError(
@@ -262,11 +317,12 @@
             return
         row = await self._store.read(TABLE, ROW_KEY)
         now = self._clock()
-        if row.version != self._newest_known_version[0]:
-            self._newest_known_version = (row.version, now)
+        known_version = row.version or store_module.era_start(self._store.era)
+        if known_version != self._newest_known_version[0]:
+            self._newest_known_version = (known_version, now)
         holder_info = _decode_holder_info(row)
         is_own_lease = holder_info.get("holder") == self._name
-        is_free = (
+        is_free = self._is_written_in_this_era(row, holder_info) and (
             not row.version
             or is_own_lease
             or holder_info.get("released")
@@ -279,23 +335,43 @@
                 await trio.sleep(PEER_DISCOVERY_S)
             if self._peer_holds_lease():
                 return
-            await self._acquire(
-                row, is_retake=holder_info.get("before") == self._name
-            )
+            await self._acquire(row, holder_info)
         else:
             await trio.sleep(FREE_CHECK_INTERVAL_S)
 
-    async def _acquire(self, row, is_retake):
+    def _is_written_in_this_era(self, row, holder_info):
+        """Return whether a row tells who holds the lease.
+
+        Notes
+        -----
+        A row that was restored from a copy does not, nor does an absent row,
+        unless the fleet has just started for the first time.
+        """
+        if not row.version:
+            return self._first_start
+        return holder_info.get("era", 0) == store_module.era_of(row.version)
+
+    async def _acquire(self, row, holder_info):
         began_at = self._clock()
         self._term_id = uuid.uuid4().hex
-        self._previous_holder = _decode_holder_info(row).get("holder", "")
+        holder = holder_info.get("holder", "")
+        is_retake = holder_info.get("before") == self._name or (
+            # After a restore, the row may lack the terms in between.
+            holder != self._name
+            and began_at < self._last_held_until + self._order_gap_s
+        )
+        if self._last_claimant and not self._is_written_in_this_era(
+            row, holder_info
+        ):
+            holder = self._last_claimant
+        self._previous_holder = holder
         acquired_row = await self._write_row(row)
         if acquired_row.version == row.version:
             return
         self._row_version = self.fencing_token = acquired_row.version
         self.is_first = not row.version
         self._renewed_at = began_at
-        self._ends_at = began_at + VALIDITY_S
+        self._extend_until(began_at + VALIDITY_S)
         self._given_up_version = 0
         delay_s = self._order_gap_s + ORDER_GAP_MARGIN_S if is_retake else 0.0
         self._orders_allowed_at = self._clock() + delay_s
@@ -307,10 +383,11 @@
         )
 
     def _update_newest_known_version(self):
-        for peer in self._heartbeats.live_peers().values():
+        for name, peer in self._heartbeats.live_peers().items():
             claim = peer.heartbeat.lease
             if claim and claim[0] and claim[1] > self._newest_known_version[0]:
                 self._newest_known_version = (claim[1], self._clock())
+                self._last_claimant = name
 
     def _peer_holds_lease(self):
         claims = [
@@ -386,6 +463,7 @@
             "term": self._term_id,
             "before": self._previous_holder,
             "released": is_released,
+            "era": self._store.era,
         }
         return store_module.Row(TABLE, ROW_KEY, 0, msgpack.packb(holder_info))
 
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -134,6 +134,7 @@
             cfg.lease_s,
             heartbeats,
             link_mbps=cfg.link_mbps,
+            first_start=cfg.first_start,
         )
         self.leader = leader_module.Leader(
             self.components,
--- a/features/entry_lease.feature
+++ b/features/entry_lease.feature
@@ -50,3 +50,29 @@
     When one of them has a wide link, and the holder is frozen now and then
     Then whoever has the wide link holds the lease at first
     And at no moment two entries might order
+
+  Scenario: The store is restored from a copy, and the holder goes on
+    Given 3 entries that share a store
+    When the store is away for 2 s and is restored from 9 s ago
+    Then at no moment two entries might order
+    And the same entry might order all the time
+
+  Scenario: The store is restored from a copy that another holder wrote
+    Given 3 entries that share a store
+    When the holder is cut off for 3 s and the store then restored
+    Then at no moment two entries might order
+    And tokens rose with each holder
+    And no holder orders again within 3 s of another one's orders
+
+  Scenario: The store is restored from a copy older than the first lease
+    Given 3 entries that share a store
+    When the lease's first row is lost as the store is restored
+    Then at no moment two entries might order
+    And tokens rose with each holder
+
+  Scenario: Random freezes, cuts and restores
+    Given 4 entries that share a store
+    When entries are frozen and cut and the store is restored, with 20 seeds
+    Then at no moment two entries might order
+    And tokens rose with each holder
+    And no holder orders again within 3 s of another one's orders
--- a/features/steps/entry_lease_steps.py
+++ b/features/steps/entry_lease_steps.py
@@ -1,5 +1,6 @@
 """Steps that play leases of several entries on a clock of the test."""
 
+import math
 import random
 
 from behave import given
@@ -11,63 +12,15 @@
 from dogwoodwheel.entry import heartbeats as heartbeats_module
 from dogwoodwheel.entry import lease as lease_module
 from dogwoodwheel import exceptions
-from dogwoodwheel.platform import store as store_module
 from features import entry_builders
+from features.standins import rows as rows_module
+from features import store_replay
 
 APART_S = 3.0
 BEAT_S = 0.25
 TICK_S = 0.05
-CALL_S = 0.01
-
-
-class Rows:
-    """One row, with calls that may be lost."""
-
-    def __init__(self, rng):
-        self.rng = rng
-        self.version = 0
-        self.value = None
-        self.lost = 0.0
-
-
-class Client:
-    """An entry's client of the row.
-
-    Parameters
-    ----------
-    rows : Rows
-    entry : Entry
-    """
-
-    def __init__(self, rows, entry):
-        self.rows = rows
-        self.entry = entry
-
-    async def _call(self, timeout_s):
-        await self.entry.awake()
-        if self.entry.cut:
-            await trio.sleep(timeout_s)
-            raise exceptions.PlatformError("cut")
-        await trio.sleep(CALL_S)
-        await self.entry.awake()
-
-    async def read(self, table, key, timeout_s=1.0):
-        await self._call(timeout_s)
-        self.entry.answered_at = self.entry.clock()
-        value = self.rows.value
-        return store_module.Row(table, key, self.rows.version, value)
-
-    async def commit(self, expected, writes, removes=(), timeout_s=1.0):
-        await self._call(timeout_s)
-        if expected[0].version != self.rows.version:
-            raise exceptions.ConflictError("version")
-        self.rows.version += 1
-        self.rows.value = writes[0].value
-        if self.rows.rng.random() < self.rows.lost:
-            await trio.sleep(timeout_s)
-            raise exceptions.OutcomeUnknownError("lost")
-        self.entry.answered_at = self.entry.clock()
-        return self.rows.version
+CONTACT_S = 0.5
+CONTACT_TIMEOUT_S = 0.6
 
 
 class HeartbeatExchange:
@@ -105,26 +58,40 @@
     def __init__(self, name, rows, link_mbps):
         self.name = name
         self.link_mbps = link_mbps
-        self.cut = False
         self.frozen_until = 0.0
-        self.answered_at = 0.0
+        self.deaf_until = 0.0
         self.heartbeats = HeartbeatExchange(self)
+        self.store, self.http_client = store_replay.open_store(rows)
+        self.http_client.paused = self.awake
         self.lease = lease_module.Lease(
-            Client(rows, self),
+            self.store,
             name,
             APART_S,
             self.heartbeats,
             self.clock,
             link_mbps,
+            first_start=True,
         )
 
     def clock(self):
         return trio.current_time()
 
+    @property
+    def cut(self):
+        return self.http_client.is_cut
+
+    @cut.setter
+    def cut(self, is_cut):
+        self.http_client.is_cut = is_cut
+
     @property
     def is_frozen(self):
         return trio.current_time() < self.frozen_until
 
+    @property
+    def hears(self):
+        return not self.is_frozen and trio.current_time() >= self.deaf_until
+
     async def awake(self):
         while self.is_frozen:
             await trio.sleep(TICK_S)
@@ -138,7 +105,7 @@
 
     def __init__(self, count, seed=1, links=()):
         self.rng = random.Random(seed)
-        self.rows = Rows(self.rng)
+        self.rows = rows_module.Rows(trio.current_time)
         links = links or [0.0] * count
         self.entries = [
             Entry(f"entry-{n}", self.rows, link)
@@ -164,10 +131,12 @@
                     id=number,
                     lease=one.lease.claim(),
                     link_mbps=one.link_mbps,
-                    store_age_s=trio.current_time() - one.answered_at,
+                    store_age_s=one.store.reply_age_s,
+                    store_era=one.store.era,
                 )
                 for other in self.entries:
-                    if other is not one and not other.is_frozen:
+                    if other is not one and other.hears:
+                        other.store.observe_era(heartbeat.store_era)
                         other.heartbeats.peers[one.name] = (
                             heartbeats_module.Peer(
                                 heartbeat, trio.current_time()
@@ -182,21 +151,24 @@
             self.moments.append((trio.current_time(), tokens))
             await trio.sleep(TICK_S)
 
-    async def contacts(self):
+    async def contacts(self, entry):
+        """Call the store now and then, as other tasks of an entry do."""
         while True:
-            for entry in self.entries:
-                if not entry.cut and not entry.is_frozen:
-                    entry.answered_at = trio.current_time()
-            await trio.sleep(0.5)
+            try:
+                await entry.store.scan("op", timeout_s=CONTACT_TIMEOUT_S)
+            except exceptions.PlatformError:
+                pass
+            await trio.sleep(CONTACT_S)
 
     def run(self, script):
         """Play a script once somebody holds the lease."""
 
         async def main():
             async with trio.open_nursery() as nursery:
-                for task in (self.beats, self.watch, self.contacts):
+                for task in (self.beats, self.watch):
                     nursery.start_soon(task)
                 for entry in self.entries:
+                    nursery.start_soon(self.contacts, entry)
                     nursery.start_soon(entry.lease.run, lambda: True)
                     nursery.start_soon(entry.lease.extend)
                 while self.holder() is None:
@@ -306,7 +278,8 @@
 @when("the store loses half of its answers for {s:d} s")
 def step_lose(context, s):
     async def script(made):
-        made.rows.lost = 0.5
+        for entry in made.entries:
+            entry.http_client.loses_reply = lambda: made.rng.random() < 0.5
         await trio.sleep(s)
 
     play(context, script)
@@ -364,6 +337,95 @@
     play(context, script)
 
 
+async def restore(made, age_s, away_s):
+    """Let the store be away for all, and come back from a copy."""
+    was_cut = [entry.cut for entry in made.entries]
+    for entry in made.entries:
+        entry.cut = True
+    await trio.sleep(away_s)
+    made.rows.restore(age_s)
+    for entry, is_cut in zip(made.entries, was_cut):
+        entry.cut = is_cut
+
+
+@when(
+    "the store is away for {away_s:g} s and is restored from {age_s:g} s ago"
+)
+def step_restore(context, away_s, age_s):
+    async def script(made):
+        context.first = made.holder()
+        await restore(made, age_s, away_s)
+        await trio.sleep(6)
+
+    play(context, script)
+
+
+@when("the holder is cut off for {s:g} s and the store then restored")
+def step_restore_changed(context, s):
+    async def script(made):
+        first = made.holder()
+        began_at = trio.current_time()
+        first.cut = True
+        while made.holder() in (None, first):
+            await trio.sleep(TICK_S)
+        await trio.sleep(context.after_s)
+        first.cut = False
+        # The first holder does not hear that another entry is the holder.
+        first.deaf_until = trio.current_time() + s
+        await restore(made, trio.current_time() - began_at, 0.3)
+        await trio.sleep(8)
+
+    for context.after_s in (0.1, 0.4, 0.7, 1.5, 3.0):
+        play(context, script)
+
+
+@when("the lease's first row is lost as the store is restored")
+def step_restore_absent(context):
+    async def script(made):
+        await restore(made, trio.current_time() + 1, 1.0)
+        await trio.sleep(6)
+
+    play(context, script)
+
+
+@when("entries are frozen and cut and the store is restored, with {n:d} seeds")
+def step_random_restores(context, n):
+    async def script(made):
+        until = trio.current_time() + 60
+        while trio.current_time() < until:
+            entry = made.rng.choice(made.entries)
+            drawn = made.rng.random()
+            if drawn < 0.4:
+                for_s = made.rng.uniform(0.5, 5)
+                entry.frozen_until = trio.current_time() + for_s
+            elif drawn < 0.6:
+                entry.cut = not entry.cut
+            elif drawn < 0.7:
+                entry.deaf_until = trio.current_time() + 3
+            else:
+                await restore(
+                    made, made.rng.uniform(1, 9), made.rng.uniform(0, 2)
+                )
+            await trio.sleep(made.rng.uniform(0.2, 3))
+
+    for seed in range(n):
+        play(context, script, seed)
+
+
+@then("no holder orders again within {s:g} s of another one's orders")
+def step_turns(context, s):
+    for made in context.plays:
+        last_moments = {}
+        holder = None
+        for at, able in made.moments:
+            for name in able:
+                if name != holder:
+                    since = at - last_moments.get(name, -math.inf)
+                    assert since >= s, (at, name, since)
+                holder = name
+                last_moments[name] = at
+
+
 @then("another entry holds the lease")
 def step_another(context):
     assert context.last is not None and context.last is not context.first
