Say what holds after a restore, and restore the store in the soak

Two real entries, a store restored twice: a key that is added is in force, a leaving endpoint gets nothing, and orders keep rising tokens. The soak of entries restores the store from copies of 0.5 to 9 s; what endpoints and the operator wrote is written again 0.1 to 1 s later. The metric store_era shows restores.

--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -227,6 +227,7 @@
                     caller_idle_timeout_s * KEEP_ALIVE_TIMEOUT_FACTOR
                 )
                 self.metrics.set_config_version(fleet_state.config.version)
+            self.metrics.set_store_era(self.store.era)
             self.components.outlier_detector.retain(fleet_state.endpoints)
             self.components.endpoint_limits.retain(fleet_state.endpoints)
             self.components.query_of_death_detector.expire(trio.current_time())
--- a/dogwoodwheel/programs/metrics.py
+++ b/dogwoodwheel/programs/metrics.py
@@ -66,6 +66,7 @@
     "replicas_loaded": "Replicas loaded at the endpoints owned.",
     "idle_accelerator_seconds": "Seconds that loaded replicas were idle.",
     "config_version": "Version of the configuration in force.",
+    "store_era": "Era of the platform's store; rises as it is restored.",
     "control_bytes": "Bytes between processes, by direction.",
     "control_messages": "Messages between processes, by direction.",
 }
@@ -180,6 +181,10 @@
         """Set the version of the configuration in force."""
         self._metrics["config_version"].set({}, version)
 
+    def set_store_era(self, era):
+        """Set the latest known era of the platform's store."""
+        self._metrics["store_era"].set({}, era)
+
     def set_control_traffic(self, direction, size, messages):
         """Set the bytes and messages sent (``out``) or received (``in``)."""
         labels = {"direction": direction}
--- a/features/chaos/entries.py
+++ b/features/chaos/entries.py
@@ -45,6 +45,10 @@
 AT_ONCE = 2
 SERIES = (1, 1, 1, 3)
 STORE_FAULTS = ("refuse", "hang", "lose")
+# Age of the copy from which the store is restored, and time until what was
+# lost is written again.
+COPY_AGE_S = (0.5, 9.0)
+REWRITE_S = (0.1, 1.0)
 LINK_FAULTS = ("cut", "blackhole", "half_open", "freeze")
 WORKER_FAULTS = (
     "reset",
@@ -153,6 +157,7 @@
         self.named_limit = LIMIT
         self.version = 1
         self._locks = collections.defaultdict(threading.Lock)
+        self._left = set()
         self.kinds = (
             self.kill,
             self.pause,
@@ -165,6 +170,7 @@
             self.leave,
             self.configure,
             self.compact,
+            self.restore,
             self.poison,
             self.limit,
         )
@@ -394,6 +400,26 @@
         self.fleet.store.call("compact")
         return "all"
 
+    def restore(self, rng):
+        """Take the store away, and bring it back from a copy.
+
+        What the operator and the workers wrote is written again.
+        """
+        with self._locks["store"], self._locks["config"]:
+            self.fleet.store.call("outage", mode=rng.choice(STORE_FAULTS[:2]))
+            self._last(rng)
+            self.fleet.store.call("restore", age_s=rng.uniform(*COPY_AGE_S))
+            self.fleet.store.call("outage", mode="off")
+            time.sleep(rng.uniform(*REWRITE_S))
+            self._configure()
+            for name in self.fleet.registered:
+                with self._locks["registrations"]:
+                    if name in self._left:
+                        self.fleet.unregister(name)
+                    else:
+                        self.fleet.register(name)
+        return "all"
+
     def worker_faults(self, rng):
         """Let a worker's next answers fail."""
         name = rng.choice((*ENGINES, *PLAIN))
@@ -405,11 +431,15 @@
         """Take a plain worker's registration away for a while."""
         name = rng.choice(tuple(PLAIN))
         with self._locks["plain"]:
-            self.fleet.unregister(name)
+            with self._locks["registrations"]:
+                self._left.add(name)
+                self.fleet.unregister(name)
             began = time.time()
             time.sleep(entry_checks.DRAIN_S + rng.uniform(*SPAN_S))
             self.gone.append((began, time.time(), name))
-            self.fleet.register(name)
+            with self._locks["registrations"]:
+                self._left.discard(name)
+                self.fleet.register(name)
         return ""
 
     def configure(self, rng):
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -168,6 +168,20 @@
     And the key "key-new" is added
     Then within 3 s "/stock/7" with the key "key-new" is answered 200
 
+  Scenario: The store is restored from a copy, twice
+    Given the entries "one" and "two"
+    When 3 s go by
+    And the store is restored from 3 s ago
+    And the store is restored from 2 s ago
+    And the key "key-new" is added
+    Then within 2 s "/stock/7" with the key "key-new" is answered 200
+    When the worker "p1" registers that it is leaving
+    And 2 s go by
+    Then 20 requests for "/stock/7" reach only "p2"
+    When a caller asks for a stream of "m2"
+    Then it gets the events 1 to 6
+    And the engines took orders with rising tokens from one holder
+
   Scenario: Answers of the store are lost
     Given the entry "one"
     When the store loses its answers
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -296,6 +296,11 @@
     context.fleet.store.call("compact")
 
 
+@when("the store is restored from {s:g} s ago")
+def step_restored(context, s):
+    context.fleet.store.call("restore", age_s=s)
+
+
 @when('the key "{key}" is added')
 def step_key(context, key):
     tenants = json.loads(entry_builders.config_body())["tenants"]
