Take no odd era from a heartbeat

A heartbeat that named an era which is none (-1, NaN, ten millions) was taken, and each reply of the store then counted as one of an earlier era, so that the entry followed the store no more. The scenario failed before.

--- a/dogwoodwheel/platform/store.py
+++ b/dogwoodwheel/platform/store.py
@@ -148,7 +148,15 @@
         return min(trio.current_time() - self.last_reply_at, MAX_REPLY_AGE_S)
 
     def observe_era(self, era):
-        """Record an era that a reply of the store, or a peer, has named."""
+        """Record an era that a reply of the store, or a peer, has named.
+
+        Raises
+        ------
+        ValueError
+            If it is no whole number from 0 to `MAX_ERA`.
+        """
+        if not isinstance(era, int) or not 0 <= era <= MAX_ERA:
+            raise ValueError(f"{era!r} is no era; upgrade the peer")
         if era <= self.era:
             return
         if self.era:
--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -69,6 +69,11 @@
     And the other endpoints are used all the time
     And all entries have the later one within 1 s and never an older one
 
+  Scenario: A peer names an era that is none
+    Given 2 entries that follow the store
+    When a peer names the eras "nan", "-1" and "10000000"
+    Then the entries follow the store as before
+
   Scenario: The store is asked no more often than before
     Given 4 entries that follow the store
     When the store is restored from 9 s before
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -1,5 +1,7 @@
 """Steps about a store that is restored, on a clock of the test."""
 
+import math
+
 from behave import given
 from behave import then
 from behave import when
@@ -302,6 +304,28 @@
     assert context.usable == OTHERS, context.usable
 
 
+@when('a peer names the eras "nan", "-1" and "10000000"')
+def step_odd_eras(context):
+    async def story(fleet):
+        peer = fleet.entries[1].member
+        for era in (math.nan, -1, 10000000):
+            peer.store.era = era
+            await peer.components.heartbeats.send_heartbeat()
+        peer.store.era = 1
+        await trio.sleep(1.0)
+        fleet.configure(5)
+        context.configured_at = trio.current_time()
+
+    play(context, story, 3.0)
+
+
+@then("the entries follow the store as before")
+def step_follow(context):
+    for entry in context.observer.fleet.entries:
+        assert entry.store.era == 1, entry.store.era
+        assert entry.fleet_state.config.version == 5
+
+
 @when("the store is restored twice, and an endpoint drains between")
 def step_twice(context):
     async def story(fleet):
