Keep an endpoint that two copies of the store lack

Found by a replay of two restores in a row: an endpoint that registered shortly before was dropped after the second one, since the time in which it may register again was counted from the first. It is counted from the newest restore. The scenario failed before.

--- a/dogwoodwheel/entry/fleet_state.py
+++ b/dogwoodwheel/entry/fleet_state.py
@@ -108,13 +108,17 @@
     for name, previous in tracked_endpoints.items():
         if name in merged_endpoints:
             continue
-        if previous.missing_at < math.inf:
-            if now - previous.missing_at < REREGISTRATION_S:
-                merged_endpoints[name] = previous
-        elif store_was_unavailable:
+        is_missing_since = previous.missing_at < math.inf
+        if store_was_restored or (
+            store_was_unavailable and not is_missing_since
+        ):
             merged_endpoints[name] = dataclasses.replace(
                 previous, missing_at=now
             )
+        elif is_missing_since and (
+            now - previous.missing_at < REREGISTRATION_S
+        ):
+            merged_endpoints[name] = previous
     return merged_endpoints
 
 
--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -27,6 +27,11 @@
     When an endpoint registers, and the store is restored from 4 s before
     Then all entries use that endpoint all the time
 
+  Scenario: An endpoint has registered, and two copies lack it
+    Given 3 entries that follow the store
+    When an endpoint registers, and two restores in a row lose that
+    Then all entries use that endpoint all the time
+
   Scenario: An endpoint that lapsed before is listed and does not write again
     Given 3 entries that follow the store
     When a silent endpoint is listed after the store is restored
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -160,6 +160,23 @@
     play(context, story, 6.0)
 
 
+@when("an endpoint registers, and two restores in a row lose that")
+def step_registers_twice(context):
+    async def story(fleet):
+        await trio.sleep(3.0)
+        fleet.register("i-new")
+        await trio.sleep(1.0)
+        context.known_at = trio.current_time()
+        await fleet.restore(3.0, rewrite_s=60.0)
+        fleet.registered.pop("i-new")
+        await trio.sleep(1.5)
+        await fleet.restore(2.0)
+        await trio.sleep(1.5)
+        fleet.register("i-new")
+
+    play(context, story, 5.0)
+
+
 @then("all entries use that endpoint all the time")
 def step_all_use(context):
     for at, name, usable, _, _ in context.observer.moments:
