Accept a reply without an ID on a new connection only

What callers saw: requests that may run once ran at two endpoints, and an earlier refusal was answered in place of their own reply, if an endpoint wrote a refusal without an ID once more on kept connections.

Cause: a reply without an ID was discarded only while the endpoint was known to return IDs, and the first such reply made the client forget that. The next kept connection to the endpoint had no protection. The connection itself says more: it was kept only because its endpoint returned IDs on it. Two related gaps had the same cause, a reply that was taken for the request that waited: of several ID headers only the first was compared, and a call without an ID (a report or an order) took the reply to a request that had one.

Why it works: whatever an endpoint has written to a connection belongs to a request that the connection has carried. A new connection has carried none, so a reply without an ID can only be for the first one.

--- a/dogwoodwheel/engines/connections.py
+++ b/dogwoodwheel/engines/connections.py
@@ -62,6 +62,8 @@
         this time, seconds.
     is_reused : bool
         Whether the connection has carried a request before.
+    has_carried_ids : bool
+        Whether the connection has carried a request with an id.
     """
 
     def __init__(self, address, stream):
@@ -69,6 +71,7 @@
         self.became_idle_at = trio.current_time()
         self.max_idle_s = 0.0
         self.is_reused = False
+        self.has_carried_ids = False
         self._stream = stream
         self._h11 = h11.Connection(h11.CLIENT)
         self._request_sent = False
--- a/dogwoodwheel/engines/http.py
+++ b/dogwoodwheel/engines/http.py
@@ -4,9 +4,10 @@
 -----
 The client sends each request once and never retries.  A connection is
 reused only after a complete reply that is not followed by further bytes.
-The header ``X-Request-Id`` shows which request a reply belongs to: if a
-request has an id, its connection is reused only if the endpoint
-returned the same id.
+The header ``X-Request-Id`` shows which request a reply belongs to, since an
+endpoint may send the reply to an earlier request once more: if a request has
+an id, its connection is reused only if the endpoint returned the same id,
+and a reply without an id is accepted only on a new connection.
 """
 
 import contextlib
@@ -193,7 +194,7 @@
             reply = await _call_within(
                 IDLE_TIMEOUT_S, _send_request, conn, address, req
             )
-            may_reuse = self._may_reuse(address, req, reply)
+            may_reuse = self._may_reuse(conn, req, reply)
             yield reply
         finally:
             if (
@@ -308,28 +309,37 @@
         idle_connections = self._idle_connections.setdefault(conn.address, [])
         idle_connections.append(conn)
 
-    def _may_reuse(self, address, req, reply):
+    def _may_reuse(self, conn, req, reply):
         """Return whether the connection of a reply may be reused.
 
         Raises
         ------
         ReplyError
             If the reply has the id of another request, or has no id
-            although this endpoint returned ids in earlier replies.
+            although the endpoint returned ids in earlier replies.
         """
+        returned_ids = {
+            value for name, value in reply.headers if name == REQUEST_ID_HEADER
+        }
         if not req.id:
+            is_other = conn.has_carried_ids and any(returned_ids)
+        elif returned_ids == {req.id.encode()}:
+            conn.has_carried_ids = True
+            self._addresses_returning_ids.add(conn.address)
             return True
-        returned_id = reply.header(REQUEST_ID_HEADER)
-        if returned_id == req.id.encode():
-            self._addresses_returning_ids.add(address)
-            return True
-        if returned_id or address in self._addresses_returning_ids:
-            self._addresses_returning_ids.discard(address)
+        else:
+            is_other = (
+                any(returned_ids)
+                or conn.is_reused
+                or conn.address in self._addresses_returning_ids
+            )
+        if is_other:
+            self._addresses_returning_ids.discard(conn.address)
             raise exceptions.ReplyError(
-                f"{address} sent the reply of another request; it was "
+                f"{conn.address} sent the reply of another request; it was "
                 f"discarded, look at the endpoint's log"
             )
-        return False
+        return not req.id
 
 
 def is_timeout(exc):
--- a/features/standins/worker.py
+++ b/features/standins/worker.py
@@ -12,6 +12,7 @@
 import functools
 import json
 import time
+import weakref
 
 import trio
 
@@ -33,6 +34,9 @@
     "lose",
     "hang",
     "full",
+    "missing",
+    "unnamed_refusal",
+    "repeated_refusal",
     "error",
     "short",
     "other_id",
@@ -104,6 +108,8 @@
         self.crash = None
         self.nursery = None
         self.connections = set()
+        # IDs of the requests that were refused on each connection.
+        self.refused_ids = weakref.WeakKeyDictionary()
 
     def commands(self):
         """Return the commands of the control port."""
@@ -252,10 +258,12 @@
             not_run = [*reply, ("x-not-executed", "1")]
             await exchange.reply(UNAVAILABLE, {}, not_run)
             return
-        if model and not self._holds(model, adapter):
+        if fault == "missing" or model and not self._holds(model, adapter):
+            self.refused_ids.setdefault(exchange.conn, []).append(request_id)
             await exchange.reply(MISDIRECTED, {}, reply)
             return
         event["ran"] = True
+        await self._write_refusal_again(exchange, fault)
         if self.delay_s:
             await trio.sleep(self.delay_s)
         reply.append(("x-server-seal", f"seal.{self.name}"))
@@ -267,6 +275,19 @@
             await self._plain(exchange, reply, fault)
         event["ended"] = time.time()
 
+    async def _write_refusal_again(self, exchange, fault):
+        """Write an earlier refusal before the answer, if there was one."""
+        request_id = ""
+        if fault == "repeated_refusal" and exchange.conn in self.refused_ids:
+            request_id = f"X-Request-Id: {self.refused_ids[exchange.conn][-1]}"
+        elif fault != "unnamed_refusal" or not exchange.conn.served:
+            return
+        await exchange.raw(
+            b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+            + (request_id and f"{request_id}\r\n").encode()
+            + b"Content-Length: 0\r\n\r\n"
+        )
+
     def _holds(self, model, adapter):
         held = self.models.get(model)
         return held is not None and (not adapter or adapter in held)
