Send no failed request again on a connection that has carried it

What callers may see: a request that was refused and is sent once more to the same endpoint gets a copy of that refusal for its reply, while the endpoint runs it. It is then sent to a second endpoint, or refused as not run.

Cause: an ID shows which request a reply belongs to, not which of the times that the request was sent.

Evidence: "refused a, then a" and "refused a, then b and a" of late_refusals.feature returned the copy (503) before the change, and the request's own reply after it.

Why it works: a connection keeps the IDs of the requests that failed on it, and requests with these IDs take another connection. No connection is closed for it that was kept before, until one has carried 256 requests that failed. An unused constant goes.

--- a/dogwoodwheel/engines/connections.py
+++ b/dogwoodwheel/engines/connections.py
@@ -22,6 +22,9 @@
 RECEIVE_BYTES = 65536
 # A reply with more informational responses before its head is malformed.
 MAX_INFORMATIONAL_RESPONSES = 16
+# A connection is closed after this number of requests that failed, since it
+# keeps their ids.
+MAX_FAILED_REQUESTS = 256
 # Maximum size of a request that fits into the socket's send buffer.  A
 # shorter one can be sent without blocking, even if the peer replies without
 # reading the request.
@@ -64,6 +67,8 @@
         Whether the connection has carried a request before.
     has_carried_ids : bool
         Whether the connection has carried a request with an id.
+    failed_request_ids : set of str
+        Ids of the requests to which the peer replied with an error status.
     """
 
     def __init__(self, address, stream):
@@ -72,6 +77,7 @@
         self.max_idle_s = 0.0
         self.is_reused = False
         self.has_carried_ids = False
+        self.failed_request_ids = set()
         self._stream = stream
         self._h11 = h11.Connection(h11.CLIENT)
         self._request_sent = False
@@ -131,6 +137,7 @@
             and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
             and not self._h11.trailing_data[0]
+            and len(self.failed_request_ids) < MAX_FAILED_REQUESTS
         )
 
     def prepare_next_request(self):
--- a/dogwoodwheel/engines/http.py
+++ b/dogwoodwheel/engines/http.py
@@ -7,7 +7,9 @@
 The header ``X-Request-Id`` shows which request a reply belongs to, since an
 endpoint may send the reply to an earlier request once more: if a request has
 an id, its connection is reused only if the endpoint returned the same id,
-and a reply without an id is accepted only on a new connection.
+and a reply without an id is accepted only on a new connection.  The id cannot
+tell two replies to one request apart, so a request that failed is not sent
+again on a connection that has carried it.
 """
 
 import contextlib
@@ -31,7 +33,7 @@
 # Maximum size of the body of an endpoint's reply that is read as a whole; as
 # much as a caller may send.  A faulty endpoint may send bytes without end.
 MAX_BODY_BYTES = 4 * 1024 * 1024
-CONNECTIONS = 256
+MIN_FAILURE_STATUS = 300
 REQUEST_ID_HEADER = b"x-request-id"
 PEER_TIMEOUT_PATTERN = re.compile(rb"timeout=(\d+)")
 BODYLESS_METHODS = ("GET", "HEAD", "DELETE", "OPTIONS")
@@ -195,6 +197,8 @@
                 IDLE_TIMEOUT_S, _send_request, conn, address, req
             )
             may_reuse = self._may_reuse(conn, req, reply)
+            if req.id and reply.status >= MIN_FAILURE_STATUS:
+                conn.failed_request_ids.add(req.id)
             yield reply
         finally:
             if (
@@ -291,10 +295,8 @@
         return tuple(self._idle_connections)
 
     async def _acquire(self, address, req, connect_timeout_s):
-        idle_connections = self._idle_connections.get(address, [])
         now = trio.current_time()
-        while idle_connections and not req.new_connection:
-            conn = idle_connections.pop()
+        while conn := self._pop_idle(address, req):
             if (
                 conn.has_no_pending_data()
                 and now - conn.became_idle_at < conn.max_idle_s
@@ -304,6 +306,16 @@
         self.opened_connections += 1
         return await connections.Connection.connect(address, connect_timeout_s)
 
+    def _pop_idle(self, address, req):
+        """Return the connection to try next, or None to open another."""
+        if req.new_connection:
+            return None
+        idle_connections = self._idle_connections.get(address, [])
+        for index in reversed(range(len(idle_connections))):
+            if req.id not in idle_connections[index].failed_request_ids:
+                return idle_connections.pop(index)
+        return None
+
     def _release(self, conn):
         conn.prepare_next_request()
         idle_connections = self._idle_connections.setdefault(conn.address, [])
--- a/features/late_refusals.feature
+++ b/features/late_refusals.feature
@@ -7,6 +7,8 @@
 
     Examples:
       | replied | of          | ids |
+      | refused | "a"         | a   |
+      | refused | "a"         | b a |
       | served  | "a"         | b   |
       | served  | no ID       | b c |
       | served  | "b" and "a" | b   |
