Answer 502 for a 408, 429 or 503 of an endpoint that may have run

What callers saw: a request that may run once, and had run, was answered 408, 429 or 503, which promise that it has not run; a caller may repeat it.

Cause: an endpoint's error reply was passed on with its status whatever that status states, also if the endpoint did not state (X-Not-Executed) that it had not run the request.

Ruled out: the entry's own refusals. Each place that raises one was read: it gives 502 or 504 once an attempt may have run.

Evidence: "A worker runs a request and answers as if it had not" got 408, 429 and 503 before the change, and gets 502 after it.

Why it works: the only path that passes an endpoint's error status on now leaves out the statuses with a promise. The reply's signature goes with them, as it signs another status.

--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -410,8 +410,15 @@
             endpoint.id, reply.status < MIN_SERVER_ERROR_STATUS
         )
         outcome = f"failed {reply.status}"
-        if self.caller.reply_started:
-            return outcome, exceptions.ReplyError("the stream cannot go on")
+        if (
+            self.caller.reply_started
+            or reply.status in http_headers.NOT_RUN_STATUSES
+        ):
+            # A caller may repeat a request that got one of these statuses,
+            # and the endpoint does not state that it did not run it.
+            return outcome, self._attempt_error(
+                f"the endpoint replied with status {reply.status}"
+            )
         # The caller receives this reply if no other attempt follows.
         answer = callers.Answer(
             reply.status, http_headers.for_caller(reply.headers), body
--- a/dogwoodwheel/platform/http_headers.py
+++ b/dogwoodwheel/platform/http_headers.py
@@ -45,6 +45,8 @@
 )
 # HTTP status of an endpoint that does not hold the requested model.
 MISDIRECTED = 421
+# Statuses that promise a caller that its request has not run.
+NOT_RUN_STATUSES = (408, MISDIRECTED, 429, 503)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/features/late_refusals.feature
+++ b/features/late_refusals.feature
@@ -31,3 +31,17 @@
     When a caller asks at "/draft/a" for a stream of "m0"
     Then it gets the events 1 to 6
     And 1 engine ran it
+
+  Scenario Outline: A worker runs a request and answers as if it had not
+    Given a store, the workers "e1 e2" with the model "m0" and "p1 p2"
+    And the entry "one"
+    And the next request at each plain worker meets "<fault>"
+    When a caller posts to "/orders/1"
+    Then it gets 502
+    And 1 plain workers ran it
+
+    Examples:
+      | fault   |
+      | ran_408 |
+      | ran_429 |
+      | ran_503 |
--- a/features/standins/worker.py
+++ b/features/standins/worker.py
@@ -38,6 +38,9 @@
     "unnamed_refusal",
     "repeated_refusal",
     "error",
+    "ran_408",
+    "ran_429",
+    "ran_503",
     "short",
     "other_id",
     "unsigned",
@@ -269,6 +272,8 @@
         reply.append(("x-server-seal", f"seal.{self.name}"))
         if fault == "error":
             await exchange.reply(ERROR, {"error": self.name}, reply)
+        elif fault.startswith("ran_"):
+            await exchange.reply(int(fault[-3:]), {}, reply)
         elif model:
             await self._stream(exchange, reply, fault)
         else:
