Take the header X-Not-Executed from error replies only

What callers saw: a request that had run was sent to a second endpoint, or was answered 503 as not run, if a signed success had the header X-Not-Executed.

Cause: the header was read without the status that it comes with.

Evidence: "A worker's success states that it has not run the request" got 503 after both workers had run it, and gets the success after the change.

Why it works: an endpoint that did not run a request has no result to sign, so a signed success is one, whatever else the reply states.

--- a/dogwoodwheel/platform/http_headers.py
+++ b/dogwoodwheel/platform/http_headers.py
@@ -47,6 +47,7 @@
 MISDIRECTED = 421
 # Statuses that promise a caller that its request has not run.
 NOT_RUN_STATUSES = (408, MISDIRECTED, 429, 503)
+MIN_FAILURE_STATUS = 400
 
 
 @dataclasses.dataclass(frozen=True)
@@ -211,7 +212,10 @@
 
 def was_not_executed(reply):
     """Return whether the endpoint states that it did not run the request."""
-    return reply.status == MISDIRECTED or bool(reply.header(b"x-not-executed"))
+    return reply.status == MISDIRECTED or (
+        reply.status >= MIN_FAILURE_STATUS
+        and bool(reply.header(b"x-not-executed"))
+    )
 
 
 def request_rate_limit(reply):
--- a/features/late_refusals.feature
+++ b/features/late_refusals.feature
@@ -45,3 +45,11 @@
       | ran_408 |
       | ran_429 |
       | ran_503 |
+
+  Scenario: A worker's success states that it has not run the request
+    Given a store, the workers "e1 e2" with the model "m0" and "p1 p2"
+    And the entry "one"
+    And the next request at each plain worker meets "ran_denied"
+    When a caller posts to "/orders/1"
+    Then it gets 200 with a worker's signature
+    And 1 plain workers ran it
--- a/features/standins/worker.py
+++ b/features/standins/worker.py
@@ -41,6 +41,7 @@
     "ran_408",
     "ran_429",
     "ran_503",
+    "ran_denied",
     "short",
     "other_id",
     "unsigned",
@@ -272,6 +273,8 @@
         reply.append(("x-server-seal", f"seal.{self.name}"))
         if fault == "error":
             await exchange.reply(ERROR, {"error": self.name}, reply)
+        elif fault == "ran_denied":
+            await exchange.reply(OK, {}, [*reply, ("x-not-executed", "1")])
         elif fault.startswith("ran_"):
             await exchange.reply(int(fault[-3:]), {}, reply)
         elif model:
