Discard the begun event of an attempt that is given up for its silence

What callers saw: the first event of a stream had the beginning of the same event of another endpoint in it ("id: 1, data: id: 1, data: 1").

Cause: the part of an event that an attempt had received was discarded after an attempt that broke off, but not after one that sent nothing for too long, so the next endpoint's bytes were appended to it.

Evidence: "hang_in_event" got that event in a whole answer before the change, and the events 1 to 6 after it.

Why it works: each attempt of a stream begins without the bytes of the one before, whatever ended that.

--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -212,6 +212,8 @@
         time_left_s = admitted.deadline - trio.current_time()
         if time_left_s < MIN_TIME_LEFT_S:
             return self.timeout_error()
+        if self.splitter is not None:
+            self.splitter.reset()
         request = http.Request(
             id=admitted.request_headers.id,
             method=admitted.incoming.method,
@@ -305,8 +307,6 @@
         except exceptions.ReplyError as exc:
             self.attempts += 1
             self.components.record_outcome(endpoint_id, False)
-            if self.splitter is not None:
-                self.splitter.reset()
             self.is_crash_suspect = await self.prompt_guard.record_break(
                 endpoint
             )
--- a/features/resumed_streams.feature
+++ b/features/resumed_streams.feature
@@ -28,3 +28,4 @@
       | break          |
       | bad_chunk      |
       | skip_in_chunk  |
+      | hang_in_event  |
