End a stream at an event without a number

What callers saw: an endpoint's error in the middle of their stream, as an event of its own, or the whole head and body of its error reply; the stream then ended as if it were complete.

Cause: only the numbers of events were compared, so a block of bytes without a number was passed on as it was.

Evidence: before the change "unnumbered" and "error_inside" got the error's text, or "HTTP/1.1 500 Internal Server Error" and its body, after event 3 or 4 in a whole answer. They are cut after the last event now. "empty_unframed" of a first attempt passed before.

Why it works: every event of such a route has a number, and a block without one cannot be placed. Comments of the protocol of events carry no content and still pass.

--- a/dogwoodwheel/entry/events.py
+++ b/dogwoodwheel/entry/events.py
@@ -59,8 +59,8 @@
         Raises
         ------
         ReplyError
-            If an event is missing, repeated, or longer than
-            `MAX_EVENT_BYTES`.
+            If an event is missing, repeated, without a number, or longer
+            than `MAX_EVENT_BYTES`.
         """
         self._buffer += chunk
         complete_bytes = self._buffer.rfind(EVENT_END) + len(EVENT_END)
@@ -77,10 +77,20 @@
     def _check_order(self, event):
         number = self._get_event_number(event)
         if number is None:
-            return
+            if _is_comment(event):
+                return
+            raise exceptions.ReplyError(
+                f"no event with a number after event {self.last_number}"
+            )
         if self.last_number is not None and number != self.last_number + 1:
             raise exceptions.ReplyError(
                 f"event {number} followed event {self.last_number}"
             )
         self.last_number = number
         self.event_count += 1
+
+
+def _is_comment(event):
+    return all(
+        not line or line.startswith(b":") for line in event.split(b"\n")
+    )
--- a/features/entry_decisions.feature
+++ b/features/entry_decisions.feature
@@ -74,6 +74,7 @@
     Then events pass in order however they are cut into parts
     And an event that is missing or doubled ends the stream
     And half an event is never passed on
+    And a comment passes, and an event without a number ends the stream
 
   Scenario: No endpoint is left for a request that may have run
     Given a request whose first attempt may have run
--- a/features/resumed_streams.feature
+++ b/features/resumed_streams.feature
@@ -17,6 +17,8 @@
       | full           | 3    |
       | unsigned       | 3    |
       | restart        | 3    |
+      | unnumbered     | 3    |
+      | error_inside   | 3    |
 
   Scenario Outline: A stream is spoilt, and the next worker is sound
     Given the next request at 1 engine meets "<fault>"
@@ -26,6 +28,7 @@
     Examples:
       | fault          |
       | break          |
+      | empty_unframed |
       | bad_chunk      |
       | skip_in_chunk  |
       | hang_in_event  |
--- a/features/steps/entry_decision_steps.py
+++ b/features/steps/entry_decision_steps.py
@@ -426,6 +426,19 @@
     assert splitter.has_partial_event
 
 
+@then("a comment passes, and an event without a number ends the stream")
+def step_unnumbered(context):
+    for number in (0, 1):
+        splitter = events.EventSplitter(http_headers.event_id)
+        first = event(1) * number
+        assert splitter.feed(first + b": waits\n\n") == first + b": waits\n\n"
+        try:
+            splitter.feed(b"event: error\ndata: overloaded\n\n")
+        except exceptions.ReplyError:
+            continue
+        raise AssertionError(f"an error passed after {number} events")
+
+
 @given("a request whose first attempt {ran}")
 def step_attempted(context, ran):
     route = datatypes.Route(
