Decode registrations and reports of engines within bounds

What callers saw: another writer leaves one odd row among the registrations, and every entry that reads the list ends, and ends again at each start, until somebody removes the row. Reproduced with real entries: a number of 1e400 in `slots` or `born` (OverflowError) and 100,000 nested lists (RecursionError) left `registrations.decode`, the scan and the process. The same held for a report of one engine, which ended the entry that leads: a `sequence` of 1e400, a body that is a list (AttributeError), deep nesting. Ports out of range, hosts that are no address, slots of 10**30, texts of lone surrogates, keys with line ends were accepted.

Cause: each decoder took the values as they came and named the exceptions that it expected of them. The class: input of others is read by conversion instead of by what is allowed.

`platform/decoding.py` now parses JSON of bounded size and depth and reads each field by type and range; it raises one kind of error. A malformed row costs that row only. Rows are decoded when their value changes; malformed ones too, which were decoded again at each scan, and a row that is written again under the version that it had. At most 20 lines a minute tell of malformed rows, the rest is counted, and nothing is kept of rows that are gone.

Ruled out: nothing else ended these processes; with the row gone, they start.

--- a/dogwoodwheel/entry/watchers.py
+++ b/dogwoodwheel/entry/watchers.py
@@ -3,6 +3,7 @@
 from loguru import logger
 import trio
 
+from dogwoodwheel.entry import registration_reader
 from dogwoodwheel import exceptions
 from dogwoodwheel.membership import view
 from dogwoodwheel.platform import operator_table
@@ -85,7 +86,7 @@
         self._fleet_state = fleet_state
         self._heartbeats = heartbeats
         self._settings = settings
-        self._reader = _RegistrationReader()
+        self._reader = registration_reader.RegistrationReader()
         self._store_version = 0
         self._scan_received = trio.Event()
         heartbeats.on_scan = self.receive_scan
@@ -363,48 +364,3 @@
                 routes=sum(map(len, config.routes.values())),
                 keys=len(config.keys),
             )
-
-
-class _RegistrationReader:
-    """Decodes registrations; logs each malformed registration once."""
-
-    def __init__(self):
-        self._previous_endpoints = {}
-        self._malformed_keys = set()
-
-    def read(self, rows):
-        """Return each endpoint and the version of its row, by name."""
-        endpoints = {}
-        for row in rows:
-            previous = self._previous_endpoints.get(row.key)
-            if previous is not None and previous[1] == row.version:
-                endpoints[row.key] = previous
-                continue
-            try:
-                endpoint = registrations.decode(row.key, row.value)
-            except exceptions.DeclarationError as exc:
-                if row.key not in self._malformed_keys:
-                    self._malformed_keys.add(row.key)
-                    logger.warning("endpoints: malformed", why=exc.faults[0])
-                continue
-            endpoints[row.key] = (endpoint, row.version)
-        self._log_changes(endpoints)
-        self._previous_endpoints = endpoints
-        return endpoints
-
-    def _log_changes(self, endpoints):
-        for name, (endpoint, version) in endpoints.items():
-            previous = self._previous_endpoints.get(name)
-            if previous is None or previous[0].ready != endpoint.ready:
-                logger.info(
-                    "endpoints: updated",
-                    id=name,
-                    service=endpoint.service,
-                    address=endpoint.address,
-                    zone=endpoint.zone,
-                    ready=endpoint.ready,
-                    cold_s=round(endpoint.cold_s, 1),
-                    row=store_module.describe_version(version),
-                )
-        for name in self._previous_endpoints.keys() - endpoints.keys():
-            logger.info("endpoints: no longer registered", id=name)
--- a/dogwoodwheel/platform/engine_client.py
+++ b/dogwoodwheel/platform/engine_client.py
@@ -5,6 +5,7 @@
 from dogwoodwheel.engines import http
 from dogwoodwheel.entry import datatypes
 from dogwoodwheel import exceptions
+from dogwoodwheel.platform import decoding
 from dogwoodwheel.platform import registrations
 
 __all__ = ["EngineClient"]
@@ -58,11 +59,9 @@
                 f"{endpoint.id} replied with status {status} to a report call"
             )
         try:
-            return _parse_report(json.loads(data))
-        except (ValueError, KeyError, TypeError) as exc:
-            raise exceptions.EndpointError(
-                f"the report of {endpoint.id} is malformed ({exc!r})"
-            ) from exc
+            return _parse_report(data, endpoint.id)
+        except exceptions.DeclarationError as exc:
+            raise exceptions.EndpointError(str(exc)) from exc
 
     async def send_order(
         self, endpoint, order, fencing_token, lease_holder, orders_accepted
@@ -141,21 +140,22 @@
     return ((EXPECT_INSTANCE_HEADER, endpoint.id.encode()),)
 
 
-def _parse_report(body):
-    cached_copies = body.get("atHand") or {}
+def _parse_report(data, endpoint_id):
+    body = decoding.JsonObject.from_json(data, f"the report of {endpoint_id}")
+    memory_weights, disk_weights = registrations.cached_weights(body)
     return datatypes.EngineReport(
-        models=registrations.parse_loaded_models(body.get("models") or ()),
-        busy=bool(body["busy"]),
+        models=registrations.parse_loaded_models(body),
+        busy=body.flag("busy"),
         # Number of orders that the engine has accepted since its start.
-        orders_accepted=int(body["sequence"]),
-        queued_requests=int(body.get("queued", 0)),
-        running_requests=int(body.get("active", 0)),
-        cache_used_tokens=int(body.get("kvUsed", 0)),
+        orders_accepted=body.integer("sequence"),
+        queued_requests=body.integer("queued", 0),
+        running_requests=body.integer("active", 0),
+        cache_used_tokens=body.integer("kvUsed", 0),
         # The engine reports MODEL/ADAPTER@SUFFIX; `loading_adapters` does not
         # contain the suffix.
         loading_adapters=frozenset(
-            name.partition("@")[0] for name in body.get("coming") or ()
+            name.partition("@")[0] for name in body.texts("coming", ())
         ),
-        memory_weights=frozenset(cached_copies.get("inMemory") or ()),
-        disk_weights=frozenset(cached_copies.get("onDisk") or ()),
+        memory_weights=memory_weights,
+        disk_weights=disk_weights,
     )
--- a/dogwoodwheel/platform/registrations.py
+++ b/dogwoodwheel/platform/registrations.py
@@ -1,16 +1,20 @@
 """Decodes the table in which endpoints register themselves."""
 
-import json
+import reprlib
 
 from dogwoodwheel.entry import datatypes
-from dogwoodwheel import exceptions
+from dogwoodwheel.platform import decoding
 
-__all__ = ["TABLE", "decode", "parse_loaded_models"]
+__all__ = ["TABLE", "cached_weights", "decode", "parse_loaded_models"]
 
 TABLE = "servers"
 READY = "ready"
 STATES = (READY, "draining")
 MS_PER_S = 1000.0
+MAX_SLOTS = 1_000_000
+MAX_COLD_MS = 24 * 3600 * MS_PER_S
+# Maximum size of a row that the platform's store documents.
+MAX_ROW_BYTES = 1024 * 1024
 
 
 def decode(key, value):
@@ -26,53 +30,86 @@
     Raises
     ------
     DeclarationError
-        If the value is malformed or has an unknown state.
+        If the key or the value is malformed or has an unknown state.
     """
-    try:
-        body = json.loads(value)
-        return _parse_endpoint(key, body)
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
-        raise exceptions.DeclarationError(
-            (f"registration {key} is malformed ({exc!r}) and is ignored",)
-        ) from exc
-
-
-def parse_loaded_models(raw):
-    """Return the models of a JSON list as `LoadedModel`, by name."""
-    return {
-        item["name"]: datatypes.LoadedModel(
-            item["name"],
-            frozenset(_parse_adapter(a) for a in item["adapters"]),
+    # The key becomes the value of a header of each request.
+    if not decoding.is_identifier(key):
+        raise decoding.error(
+            f"registration {reprlib.repr(key)}",
+            "its key is no ASCII text without spaces",
         )
-        for item in raw
-    }
+    body = decoding.JsonObject.from_json(
+        value, f"registration {key}", MAX_ROW_BYTES
+    )
+    state = body.text("state")
+    if state not in STATES:
+        raise decoding.error(body.what, f"state {state!r} is unknown")
+    memory_weights, disk_weights = cached_weights(body)
+    return datatypes.Endpoint(
+        id=key,
+        service=body.text("service"),
+        address=body.address("address"),
+        zone=body.text("zone"),
+        ready=state == READY,
+        slots=body.integer("slots", minimum=1, maximum=MAX_SLOTS),
+        cold_s=body.number("coldLeftMs", 0, maximum=MAX_COLD_MS) / MS_PER_S,
+        started_ms=body.integer("born", 0),
+        models=parse_loaded_models(body),
+        memory_weights=memory_weights,
+        disk_weights=disk_weights,
+    )
 
 
-def _parse_adapter(raw):
-    return raw["name"] if isinstance(raw, dict) else str(raw)
+def parse_loaded_models(body):
+    """Return the models that an endpoint lists as `LoadedModel`, by name.
 
+    Parameters
+    ----------
+    body : dogwoodwheel.platform.decoding.JsonObject
 
-def _parse_endpoint(key, body):
-    if body["state"] not in STATES:
-        raise ValueError(f"state {body['state']!r} is unknown")
-    host, _, port = body["address"].rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"address {body['address']!r} is not IP:PORT")
-    for name in ("service", "zone"):
-        if not isinstance(body[name], str):
-            raise TypeError(name)
-    # Copies of weights in host memory or on disk, not in accelerator memory.
-    cached_copies = body.get("atHand") or {}
-    return datatypes.Endpoint(
-        id=key,
-        service=body["service"],
-        address=body["address"],
-        zone=body["zone"],
-        ready=body["state"] == READY,
-        slots=int(body["slots"]),
-        cold_s=float(body.get("coldLeftMs") or 0) / MS_PER_S,
-        started_ms=int(body.get("born") or 0),
-        models=parse_loaded_models(body.get("models") or ()),
-        memory_weights=frozenset(cached_copies.get("inMemory") or ()),
-        disk_weights=frozenset(cached_copies.get("onDisk") or ()),
+    Raises
+    ------
+    DeclarationError
+        If the list is malformed.
+    """
+    models = {}
+    for item in body.children("models", ()):
+        name = item.text("name")
+        models[name] = datatypes.LoadedModel(
+            name, frozenset(_adapter_names(item))
+        )
+    return models
+
+
+def cached_weights(body):
+    """Return models with copies of weights in host memory, and on disk.
+
+    Parameters
+    ----------
+    body : dogwoodwheel.platform.decoding.JsonObject
+
+    Returns
+    -------
+    memory_weights, disk_weights : frozenset of str
+
+    Raises
+    ------
+    DeclarationError
+        If a list of copies is malformed.
+    """
+    copies = body.child("atHand", None)
+    return (
+        frozenset(copies.texts("inMemory", ())),
+        frozenset(copies.texts("onDisk", ())),
+    )
+
+
+def _adapter_names(model):
+    """Return the adapters of a model, listed as names or as objects."""
+    names = [
+        item["name"] if isinstance(item, dict) and "name" in item else item
+        for item in model.items("adapters")
+    ]
+    return decoding.JsonObject({"adapters": names}, model.what).texts(
+        "adapters"
     )
--- /dev/null
+++ b/features/odd_values.py
@@ -0,0 +1,204 @@
+"""Builders of values as a faulty writer leaves them."""
+
+import json
+
+from hypothesis import strategies
+
+from features import entry_builders
+
+__all__ = [
+    "BYTES",
+    "FIELDS",
+    "MODELS",
+    "REPORT_FIELDS",
+    "json_texts",
+    "mutated_texts",
+    "nested",
+    "registration_with",
+    "report_body",
+    "report_with",
+]
+
+# Field of a registration and its JSON text, by what is odd about it.
+FIELDS = {
+    "too many slots": ("slots", "1" + "0" * 30),
+    "infinite slots": ("slots", "1e400"),
+    "no slots": ("slots", "0"),
+    "negative slots": ("slots", "-1"),
+    "slots as a text": ("slots", '"8"'),
+    "slots as a truth value": ("slots", "true"),
+    "slots with a fraction": ("slots", "1.5"),
+    "slots of 5000 digits": ("slots", "9" * 5000),
+    "an infinite start": ("born", "1e400"),
+    "a start as a list": ("born", "[1]"),
+    "port out of range": ("address", '"127.0.0.1:70000"'),
+    "port 0": ("address", '"127.0.0.1:0"'),
+    "port of another digit": ("address", '"127.0.0.1:\\u00b2"'),
+    "port of 5000 digits": ("address", f'"127.0.0.1:{"9" * 5000}"'),
+    "no port": ("address", '"127.0.0.1"'),
+    "host that is no address": ("address", '"no such host:80"'),
+    "host with a NUL": ("address", '"127.0.0.1\\u0000:80"'),
+    "address as a number": ("address", "80"),
+    "infinitely cold": ("coldLeftMs", "1e400"),
+    "cold for no number": ("coldLeftMs", "NaN"),
+    "cold as a text": ("coldLeftMs", '"7"'),
+    "zone of a lone surrogate": ("zone", '"\\ud800"'),
+    "zone with a line end": ("zone", '"a\\r\\nb"'),
+    "zone as a list": ("zone", "[]"),
+    "service as an object": ("service", "{}"),
+    "service of a lone surrogate": ("service", '"\\udfff"'),
+    "unknown state": ("state", '"resting"'),
+    "state as a list": ("state", "[]"),
+    "models as an object": ("models", "{}"),
+    "models as numbers": ("models", "[1]"),
+    "model without a name": ("models", '[{"adapters": []}]'),
+    "model named by a list": ("models", '[{"name": [], "adapters": []}]'),
+    "model of a surrogate": (
+        "models",
+        '[{"name": "\\ud800", "adapters": []}]',
+    ),
+    "adapters as a number": ("models", '[{"name": "m0", "adapters": 1}]'),
+    "adapter as a list": ("models", '[{"name": "m0", "adapters": [[]]}]'),
+    "adapter without a name": ("models", '[{"name": "m0", "adapters": [{}]}]'),
+    "copies as a text": ("atHand", '"m0"'),
+    "copies as lists": ("atHand", '{"inMemory": [[]], "onDisk": []}'),
+    "copies as one text": ("atHand", '{"inMemory": "m0"}'),
+    "deeply nested field": ("other", "[" * 900 + "]" * 900),
+}
+
+
+def nested(depth):
+    """Return a JSON text of lists in lists."""
+    return "[" * depth + "]" * depth
+
+
+# Field of an engine's report and its JSON text, by what is odd about it.
+REPORT_FIELDS = {
+    "infinitely many orders": ("sequence", "1e400"),
+    "orders as a text": ("sequence", '"2"'),
+    "negative orders": ("sequence", "-1"),
+    "orders of 30 digits": ("sequence", "9" * 30),
+    "no orders": ("sequence", "null"),
+    "busy as a number": ("busy", "0"),
+    "infinite queue": ("queued", "1e400"),
+    "running as a list": ("active", "[]"),
+    "no tokens": ("kvUsed", "NaN"),
+    "adapters as numbers": ("coming", "[1]"),
+    "adapters as a text": ("coming", '"m0/a1@1"'),
+    "models as a text": ("models", '"m0"'),
+    "model of a surrogate": (
+        "models",
+        '[{"name": "\\ud800", "adapters": []}]',
+    ),
+    "models nested deeply": ("models", "[" * 100_000),
+    "copies as numbers": ("atHand", '{"inMemory": [1]}'),
+}
+# Value of a row, by what is odd about it.
+BYTES = {
+    "empty": b"",
+    "no JSON": b"not json",
+    "no UTF-8": b"\xff\xfe{}",
+    "a NUL": b"\0",
+    "a number": b"7",
+    "a list": b"[]",
+    "null": b"null",
+    "an empty object": b"{}",
+    "deeply nested": nested(100_000).encode(),
+    "deeply nested objects": b'{"a":' * 20_000 + b"1" + b"}" * 20_000,
+    "deeply nested, cut off": b"[" * 100_000,
+}
+MODELS = {
+    "deeply nested models": f"[{nested(100_000)}]",
+    "a model of nested lists": f'[{{"name": {nested(500)}, "adapters": []}}]',
+}
+
+
+def registration_with(field, text):
+    """Return a registration with the JSON text of one field."""
+    return _with_field(entry_builders.registration_body(), field, text)
+
+
+def report_body():
+    """Return the report of an engine."""
+    body = {
+        "stage": "colocated",
+        "models": [{"name": "m0", "version": 1, "adapters": ["a1"]}],
+        "busy": False,
+        "sequence": 2,
+        "queued": 1,
+        "active": 12,
+        "kvUsed": 41000,
+        "kvCapacity": 90000,
+        "coming": ["m0/a2@1"],
+        "atHand": {"inMemory": ["m0"], "onDisk": []},
+    }
+    return json.dumps(body).encode()
+
+
+def report_with(field, text):
+    """Return an engine's report with the JSON text of one field."""
+    return _with_field(report_body(), field, text)
+
+
+def json_texts():
+    """Return a strategy of JSON texts with odd values."""
+    return _json_values().map(lambda v: json.dumps(v).encode())
+
+
+def mutated_texts(texts):
+    """Return a strategy of sound JSON texts in which some values are odd.
+
+    Parameters
+    ----------
+    texts : sequence of bytes
+    """
+    return strategies.builds(
+        _mutate,
+        strategies.sampled_from(texts),
+        strategies.lists(
+            strategies.tuples(strategies.integers(0, 10**6), _json_values()),
+            min_size=1,
+            max_size=4,
+        ),
+    )
+
+
+def _with_field(value, field, text):
+    body = json.loads(value)
+    body.pop(field, None)
+    return (json.dumps(body)[:-1] + f', "{field}": {text}}}').encode()
+
+
+def _json_values():
+    scalars = (
+        strategies.none()
+        | strategies.booleans()
+        | strategies.integers()
+        | strategies.sampled_from([10**30, -(10**30), 2**63, 0, 1, -1])
+        | strategies.floats()
+        | strategies.text(max_size=8)
+        | strategies.sampled_from(["\ud800", "a\r\nb", "²", "1" * 5000])
+    )
+    return strategies.recursive(
+        scalars,
+        lambda inner: strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=4), inner),
+        max_leaves=8,
+    )
+
+
+def _mutate(text, changes):
+    body = json.loads(text)
+    for place, value in changes:
+        places = list(_places(body))
+        container, key = places[place % len(places)]
+        container[key] = value
+    return json.dumps(body).encode()
+
+
+def _places(body):
+    items = body.items() if isinstance(body, dict) else enumerate(body)
+    for key, value in list(items):
+        yield body, key
+        if isinstance(value, (dict, list)):
+            yield from _places(value)
--- a/features/standins/worker.py
+++ b/features/standins/worker.py
@@ -115,6 +115,7 @@
         self.poison = None
         self.limit = None
         self.crash = None
+        self.odd_report = None
         self.nursery = None
         self.connections = set()
         # IDs of the requests that were refused on each connection.
@@ -142,14 +143,20 @@
         pace_s=None,
         poison=None,
         limit=None,
+        odd_report=None,
     ):
         """Set how the worker treats requests and orders.
 
+        An odd report is the text that it sends instead of its reports; an
+        empty one ends that.
+
         The limit is the number of requests per second that the worker names
         in its answers; it takes more all the same, and 0 names none.
         Poison is a section of prompts and the seconds for which the worker
         is down after it has begun to answer a prompt with that section.
         """
+        if odd_report is not None:
+            self.odd_report = odd_report.encode() or None
         if limit is not None:
             self.limit = limit or None
         if poison is not None:
@@ -169,7 +176,9 @@
             headers = [("x-instance-id", self.name)]
             await exchange.reply(MISDIRECTED, {}, headers)
         elif exchange.path == "/api/report":
-            await exchange.reply(OK, self._report())
+            if self.odd_report is not None:
+                self.history.add("odd_report")
+            await exchange.reply(OK, self.odd_report or self._report())
         elif exchange.path == "/api/order":
             await self._order(exchange)
         else:
--- /dev/null
+++ b/features/steps/odd_rows_steps.py
@@ -0,0 +1,314 @@
+"""Steps about rows of another writer."""
+
+import codecs
+import json
+
+from behave import then
+from behave import when
+import hypothesis
+from loguru import logger
+import trio.testing
+
+from dogwoodwheel.entry import datatypes
+from dogwoodwheel.entry import registration_reader
+from dogwoodwheel import exceptions
+from dogwoodwheel.platform import engine_client
+from dogwoodwheel.platform import registrations
+from dogwoodwheel.platform import store as store_module
+from features import entry_builders
+from features import odd_values
+
+SCAN_INTERVAL_S = 0.7
+
+
+class HttpClient:
+    """Answers each call with the same body."""
+
+    def __init__(self, body):
+        self.body = body
+
+    async def call(self, address, req, timeout_s):
+        return 200, self.body
+
+
+def outcome(func, *args, refusal=exceptions.DeclarationError):
+    """Return whether a decoder accepts, refuses, or fails otherwise."""
+    try:
+        func(*args)
+    except refusal as exc:
+        assert len(str(exc)) < 1000, str(exc)[:200]
+        json.dumps({"why": str(exc)})
+        str(exc).encode()
+        return "refused"
+    except Exception as exc:
+        return f"failed with {type(exc).__name__}"
+    return "accepted"
+
+
+def check_refused(func, values, refusal=exceptions.DeclarationError):
+    """Check that a decoder refuses each of some values, given by name."""
+    outcomes = {
+        name: outcome(func, value, refusal=refusal)
+        for name, value in values.items()
+    }
+    others = {n: found for n, found in outcomes.items() if found != "refused"}
+    assert not others, others
+
+
+def check_random(strategy, count, check):
+    """Call a check with values drawn from a strategy, the same each time."""
+    settings = hypothesis.settings(
+        max_examples=count,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    settings(hypothesis.given(strategy)(check))()
+
+
+def decode_registration(value):
+    return registrations.decode("i-1", value)
+
+
+@then("each registration with an odd field is refused as malformed")
+def step_odd_fields(context):
+    fields = {**odd_values.FIELDS}
+    for name, text in odd_values.MODELS.items():
+        fields[name] = ("models", text)
+    check_refused(
+        decode_registration,
+        {
+            name: odd_values.registration_with(*field)
+            for name, field in fields.items()
+        },
+    )
+
+
+@then("each row of odd bytes is refused as a malformed registration")
+def step_odd_bytes(context):
+    check_refused(decode_registration, odd_values.BYTES)
+
+
+@then('a sound registration with the key "{key}" is refused as malformed')
+@then('a sound registration with the key "" is refused as malformed')
+def step_odd_key(context, key=""):
+    key = codecs.decode(key, "unicode_escape")
+    value = entry_builders.registration_body()
+    assert outcome(registrations.decode, key, value) == "refused"
+
+
+@then("a registration with whole numbers as floats is decoded")
+def step_floats(context):
+    value = entry_builders.registration_body(slots=8.0, coldLeftMs=1500.0)
+    endpoint = decode_registration(value)
+    assert (endpoint.slots, endpoint.cold_s) == (8, 1.5), endpoint
+
+
+@then("a registration without its optional fields is decoded")
+def step_optional(context):
+    body = json.loads(entry_builders.registration_body())
+    for name in ("coldLeftMs", "models", "stage", "sequence", "version"):
+        del body[name]
+    endpoint = decode_registration(json.dumps(body).encode())
+    assert endpoint == entry_builders.endpoint(), endpoint
+
+
+@then("a registration whose optional fields are null is decoded")
+def step_null(context):
+    value = entry_builders.registration_body(
+        coldLeftMs=None, models=None, atHand=None, born=None
+    )
+    endpoint = decode_registration(value)
+    assert endpoint == entry_builders.endpoint(), endpoint
+
+
+@then("{count:d} random registrations are decoded or refused as malformed")
+def step_random_registrations(context, count):
+    def check(value):
+        found = outcome(decode_registration, value)
+        assert found in ("accepted", "refused"), (found, value)
+
+    check_random(odd_values.json_texts(), count, check)
+    sound = entry_builders.registration_body(atHand={}, born=7)
+    check_random(odd_values.mutated_texts([sound]), count, check)
+
+
+class Reader:
+    """A reader of registrations whose log lines are kept."""
+
+    def __init__(self):
+        self.reader = registration_reader.RegistrationReader()
+        self.lines = []
+        self.decoded = 0
+
+    def read(self, rows):
+        """Return the endpoints of a scan; keep the lines that are logged."""
+        sink = logger.add(
+            lambda message: self.lines.append(message.record), level="WARNING"
+        )
+        try:
+            return self.reader.read(rows)
+        finally:
+            logger.remove(sink)
+
+
+def row(key, value, version=1):
+    """Return a row of the endpoints' table."""
+    return store_module.Row(registrations.TABLE, key, version, value)
+
+
+def play(scenario):
+    """Run an async function on a clock that jumps."""
+    trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@when("{odd:d} odd registrations stand among {sound:d} sound ones in a scan")
+def step_scan(context, odd, sound):
+    context.reader = Reader()
+    rows = [
+        row(f"i-{n}", entry_builders.registration_body()) for n in range(sound)
+    ]
+    rows[2:2] = [row(f"odd-{n}", b"[" * 65536) for n in range(odd)]
+
+    async def scenario():
+        context.endpoints = context.reader.read(rows)
+
+    play(scenario)
+
+
+@then(
+    "the {sound:d} sound endpoints are known, and {count:d} lines are logged"
+)
+def step_known(context, sound, count):
+    assert sorted(context.endpoints) == [f"i-{n}" for n in range(sound)]
+    assert len(context.reader.lines) == count, context.reader.lines
+
+
+@when("a scan each {s:g} s for {total:d} s has an odd row of another version")
+def step_changing(context, s, total):
+    context.reader = Reader()
+    context.scans = int(total / s)
+
+    async def scenario():
+        for n in range(context.scans):
+            value = f'{{"state": {n}}}'.encode()
+            context.reader.read([row(f"odd-{n}", value, n)])
+            await trio.sleep(s)
+
+    play(scenario)
+
+
+@then("at most {count:d} lines are logged, and what was not logged is counted")
+def step_bounded(context, count):
+    lines = context.reader.lines
+    assert 0 < len(lines) <= count, len(lines)
+    logged = [li for li in lines if li["message"] == "endpoints: malformed"]
+    counted = sum(
+        line["extra"]["count"]
+        for line in lines
+        if line["message"] == "endpoints: malformed, not logged"
+    )
+    left = context.scans - len(logged) - counted
+    assert counted > 0 and 0 <= left <= 66, (len(logged), counted, left)
+
+
+@then("no more rows are kept than the scan had")
+def step_kept(context):
+    reader = context.reader.reader
+    sizes = [
+        len(value)
+        for value in vars(reader).values()
+        if isinstance(value, (dict, set, list))
+    ]
+    assert max(sizes) <= 1, sizes
+
+
+@when("{scans:d} scans have the same odd row")
+def step_same(context, scans):
+    context.reader = Reader()
+    context.decoded = []
+    decode = registrations.decode
+
+    def counted(key, value):
+        context.decoded.append(key)
+        return decode(key, value)
+
+    async def scenario():
+        for _ in range(scans):
+            context.reader.read([row("odd", b"[" * 65536)])
+            await trio.sleep(SCAN_INTERVAL_S)
+
+    registrations.decode = counted
+    try:
+        play(scenario)
+    finally:
+        registrations.decode = decode
+
+
+@then("it is decoded once and logged once")
+def step_once(context):
+    assert len(context.decoded) == len(context.reader.lines) == 1, (
+        context.decoded,
+        context.reader.lines,
+    )
+
+
+@when("a row changes and keeps its version")
+def step_same_version(context):
+    context.reader = Reader()
+
+    async def scenario():
+        for state in ("ready", "draining"):
+            value = entry_builders.registration_body(state=state)
+            context.endpoints = context.reader.read([row("i-1", value, 3)])
+
+    play(scenario)
+
+
+@then("the endpoint is as the row says")
+def step_as_row(context):
+    endpoint, version = context.endpoints["i-1"]
+    assert version == 3 and not endpoint.ready, endpoint
+
+
+def fetch_report(body):
+    """Return the report that an engine's answer contains."""
+    client = engine_client.EngineClient(HttpClient(body))
+    return trio.run(client.fetch_report, entry_builders.endpoint())
+
+
+@then("each odd report is an error of that endpoint")
+def step_odd_reports(context):
+    values = {
+        name: odd_values.report_with(*field)
+        for name, field in odd_values.REPORT_FIELDS.items()
+    }
+    values.update(odd_values.BYTES)
+    check_refused(fetch_report, values, exceptions.EndpointError)
+
+
+@then("{count:d} random reports are decoded or an error of that endpoint")
+def step_random_reports(context, count):
+    def check(value):
+        found = outcome(fetch_report, value, refusal=exceptions.EndpointError)
+        assert found in ("accepted", "refused"), (found, value)
+
+    check_random(odd_values.json_texts(), count, check)
+    texts = [odd_values.report_body()]
+    check_random(odd_values.mutated_texts(texts), count, check)
+
+
+@then("a sound report is decoded")
+def step_sound_report(context):
+    report = fetch_report(odd_values.report_body())
+    assert report == datatypes.EngineReport(
+        models={"m0": datatypes.LoadedModel("m0", frozenset(["a1"]))},
+        busy=False,
+        orders_accepted=2,
+        queued_requests=1,
+        running_requests=12,
+        cache_used_tokens=41000,
+        loading_adapters=frozenset(["m0/a2"]),
+        memory_weights=frozenset(["m0"]),
+    ), report
