Decode the operator's configuration within bounds

What callers saw: nothing yet, as the platform takes valid configurations only.

Cause: fields were used as they came; the same class as for registrations.

Each field is now read by type and range, and an odd row leaves the configuration in force as it is, as any malformed one does.

--- a/dogwoodwheel/platform/decoding.py
+++ b/dogwoodwheel/platform/decoding.py
@@ -19,6 +19,7 @@
 __all__ = [
     "JsonObject",
     "MAX_PORT",
+    "MAX_TEXT_LENGTH",
     "error",
     "is_address",
     "is_identifier",
@@ -180,13 +181,6 @@
             raise self._error(name, f"no text of up to {max_length} letters")
         return value
 
-    def identifier(self, name, default=REQUIRED, max_length=MAX_NAME_LENGTH):
-        """Return a text that can be the value of an HTTP header."""
-        value = self.text(name, default, max_length)
-        if value is not default and not is_identifier(value, max_length):
-            raise self._error(name, "no ASCII text without spaces")
-        return value
-
     def address(self, name):
         """Return an address, ``IP:PORT``."""
         value = self.raw.get(name)
--- a/dogwoodwheel/platform/operator_table.py
+++ b/dogwoodwheel/platform/operator_table.py
@@ -1,12 +1,16 @@
 """Decodes the table in which the operators configure all entries."""
 
-import json
 import math
 
 from dogwoodwheel.entry import datatypes
-from dogwoodwheel import exceptions
+from dogwoodwheel.platform import decoding
 
-__all__ = ["CONFIGURATION_KEY", "EVACUATION_PREFIX", "TABLE", "decode"]
+__all__ = [
+    "CONFIGURATION_KEY",
+    "EVACUATION_PREFIX",
+    "TABLE",
+    "decode",
+]
 
 TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -38,28 +42,23 @@
     DeclarationError
         If the value is malformed or lacks a required field.
     """
-    try:
-        body = json.loads(value)
-        return datatypes.Configuration(
-            version=body["version"],
-            routes=_parse_routes(body["routes"]),
-            services=_parse_services(body["services"]),
-            customers=_parse_customers(body.get("tenants", ())),
-            keys=_parse_keys(body.get("tenants", ())),
-            limits=_parse_limits(body.get("limits", {})),
-        )
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
-        raise exceptions.DeclarationError(
-            (f"the configuration is malformed ({exc!r}); correct it",)
-        ) from exc
+    body = decoding.JsonObject.from_json(value, "the configuration")
+    tenants = body.children("tenants", ())
+    return datatypes.Configuration(
+        version=body.integer("version"),
+        routes=_parse_routes(body.children("routes")),
+        services=_parse_services(body.children("services")),
+        customers=_parse_customers(tenants),
+        keys=_parse_keys(tenants),
+        limits=_parse_limits(body.child("limits", None)),
+    )
 
 
-def _parse_routes(raw):
+def _parse_routes(items):
     routes_by_host = {}
-    for item in raw:
-        routes_by_host.setdefault(item["host"].lower(), []).append(
-            _parse_route(item)
-        )
+    for item in items:
+        route = _parse_route(item)
+        routes_by_host.setdefault(route.host, []).append(route)
     return {
         host: tuple(sorted(routes, key=lambda r: -len(r.prefix)))
         for host, routes in routes_by_host.items()
@@ -67,94 +66,104 @@
 
 
 def _parse_route(raw):
-    split = raw.get("split")
-    if split:
-        services = tuple((s["service"], float(s["weight"])) for s in split)
-    else:
-        services = ((raw["service"], 1.0),)
-    timeout_s = raw["timeoutMs"] / MS_PER_S
+    timeout_ms = raw.number("timeoutMs")
     return datatypes.Route(
-        name=raw["name"],
-        host=raw["host"].lower(),
-        prefix=raw["prefix"],
+        name=raw.text("name"),
+        host=raw.text("host").lower(),
+        prefix=raw.text("prefix", max_length=decoding.MAX_TEXT_LENGTH),
         # A request of an unknown kind may have side effects, so it must not
         # run more than once.
-        kind=ROUTE_KINDS.get(raw["kind"], datatypes.RouteKind.ONCE),
-        services=services,
-        timeout_s=timeout_s,
-        target_latency_s=raw.get("targetLatencyMs", raw["timeoutMs"])
-        / MS_PER_S,
-        priority=raw.get("priority", 0),
-        max_attempts=raw.get("maxAttempts", 1),
-        anonymous=raw.get("anonymous", False),
-        resumable=raw.get("resumable", False),
-        max_event_gap_s=raw.get("gapAimMs", math.inf) / MS_PER_S,
+        kind=ROUTE_KINDS.get(raw.text("kind"), datatypes.RouteKind.ONCE),
+        services=_parse_split(raw),
+        timeout_s=timeout_ms / MS_PER_S,
+        target_latency_s=raw.number("targetLatencyMs", timeout_ms) / MS_PER_S,
+        priority=raw.integer("priority", 0),
+        max_attempts=raw.integer("maxAttempts", 1),
+        anonymous=raw.flag("anonymous", False),
+        resumable=raw.flag("resumable", False),
+        max_event_gap_s=raw.number("gapAimMs", math.inf) / MS_PER_S,
+    )
+
+
+def _parse_split(route):
+    split = route.children("split", ())
+    if not split:
+        return ((route.text("service"), 1.0),)
+    return tuple(
+        (item.text("service"), float(item.number("weight"))) for item in split
     )
 
 
-def _parse_services(raw):
+def _parse_services(items):
     return {
-        item["name"]: datatypes.Service(
-            name=item["name"],
-            health_path=item.get("healthPath", "/health"),
-            max_connections=item.get("maxConnections", 0),
-            cold_requests_per_s=item.get("coldPerS", 0.0),
-            engine=(
-                _parse_engine(item["engine"]) if item.get("engine") else None
+        item.text("name"): datatypes.Service(
+            name=item.text("name"),
+            health_path=item.text(
+                "healthPath", "/health", decoding.MAX_TEXT_LENGTH
             ),
+            max_connections=item.integer("maxConnections", 0),
+            cold_requests_per_s=item.number("coldPerS", 0.0),
+            engine=_parse_engine(item.child("engine", None)),
         )
-        for item in raw
+        for item in items
     }
 
 
 def _parse_engine(raw):
+    if not raw.raw:
+        return None
+    models = [_parse_model(item) for item in raw.children("models", ())]
     return datatypes.EngineSpec(
-        models={m["name"]: _parse_model(m) for m in raw.get("models", ())},
+        models={model.name: model for model in models},
         # Despite the field's name, this memory also holds adapters.
-        memory_mb=raw.get("weightsMb", 0.0),
-        adapter_slots=raw.get("adapterSlots", 0),
-        weight_store_loads_per_s=raw.get("loadsPerS", 1.0),
-        slots=raw.get("slots", 1),
-        cache_tokens=raw.get("kvCacheTokens", 0),
-        disk_mb=raw.get("diskMb", math.inf),
+        memory_mb=raw.number("weightsMb", 0.0),
+        adapter_slots=raw.integer("adapterSlots", 0),
+        weight_store_loads_per_s=raw.number("loadsPerS", 1.0),
+        slots=raw.integer("slots", 1),
+        cache_tokens=raw.integer("kvCacheTokens", 0),
+        disk_mb=raw.number("diskMb", math.inf),
     )
 
 
 def _parse_model(raw):
-    load_s = raw["loadS"]
+    load_s = raw.number("loadS")
     return datatypes.ModelSpec(
-        name=raw["name"],
-        size_mb=raw["weightsMb"],
+        name=raw.text("name"),
+        size_mb=raw.number("weightsMb"),
         store_load_s=load_s,
-        disk_load_s=raw.get("diskS", load_s),
-        memory_load_s=raw.get("warmS", load_s),
-        adapter_mb=raw.get("adapterMb", 0.0),
+        disk_load_s=raw.number("diskS", load_s),
+        memory_load_s=raw.number("warmS", load_s),
+        adapter_mb=raw.number("adapterMb", 0.0),
     )
 
 
-def _parse_customers(raw):
+def _parse_customers(items):
     return {
-        item["name"]: datatypes.Customer(
-            name=item["name"],
-            rate=float(item.get("ratePerS") or 0),
-            burst=float(item.get("burst") or 0),
-            priority=item.get("priority"),
-            rate_in_tokens=item.get("unit") == "tokens",
-            default_request_tokens=float(item.get("plainTokens", 1)),
+        item.text("name"): datatypes.Customer(
+            name=item.text("name"),
+            rate=float(item.number("ratePerS", 0)),
+            burst=float(item.number("burst", 0)),
+            priority=item.integer("priority", None),
+            rate_in_tokens=item.text("unit", "") == "tokens",
+            default_request_tokens=float(item.number("plainTokens", 1)),
         )
-        for item in raw
+        for item in items
     }
 
 
-def _parse_keys(raw):
-    return {key: item["name"] for item in raw for key in item["apiKeys"]}
+def _parse_keys(items):
+    return {
+        key: item.text("name")
+        for item in items
+        for key in item.texts("apiKeys", max_length=decoding.MAX_TEXT_LENGTH)
+    }
 
 
 def _parse_limits(raw):
     defaults = datatypes.Limits()
     return datatypes.Limits(
-        header_bytes=raw.get("maxHeaderBytes", defaults.header_bytes),
-        body_bytes=raw.get("maxBodyBytes", defaults.body_bytes),
+        header_bytes=raw.integer("maxHeaderBytes", defaults.header_bytes),
+        body_bytes=raw.integer("maxBodyBytes", defaults.body_bytes),
         header_timeout_s=_ms_field_in_s(
             raw, "headerTimeoutMs", defaults.header_timeout_s
         ),
@@ -165,4 +174,5 @@
 
 
 def _ms_field_in_s(raw, name, default_s):
-    return raw[name] / MS_PER_S if name in raw else default_s
+    value_ms = raw.number(name, None)
+    return default_s if value_ms is None else value_ms / MS_PER_S
--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -46,3 +46,8 @@
     Then each odd report is an error of that endpoint
     And 300 random reports are decoded or an error of that endpoint
     And a sound report is decoded
+
+  Scenario: Odd configurations
+    Then each odd configuration is refused as malformed
+    And 300 random configurations are decoded or refused as malformed
+    And a sound configuration is decoded
--- a/features/odd_rows_entries.feature
+++ b/features/odd_rows_entries.feature
@@ -25,3 +25,11 @@
     When the reports of "e1" and "e2" are odd in many ways, and then sound
     Then within 5 s a stream of "m1" is served
     And "one" is the same process
+
+  Scenario: Odd rows stand among the operator's
+    Given the entry "one"
+    When odd rows stand in the operator's table
+    Then "/stock/7" is answered 200
+    And "one" is the same process
+    When the operator removes the route of "/stock/"
+    Then within 3 s "/stock/7" is answered 404
--- a/features/odd_values.py
+++ b/features/odd_values.py
@@ -1,6 +1,7 @@
 """Builders of values as a faulty writer leaves them."""
 
 import json
+import math
 
 from hypothesis import strategies
 
@@ -8,9 +9,11 @@
 
 __all__ = [
     "BYTES",
+    "CONFIG_FIELDS",
     "FIELDS",
     "MODELS",
     "REPORT_FIELDS",
+    "config_with",
     "json_texts",
     "mutated_texts",
     "nested",
@@ -93,6 +96,49 @@
     "models nested deeply": ("models", "[" * 100_000),
     "copies as numbers": ("atHand", '{"inMemory": [1]}'),
 }
+# Path in a configuration and the value there, by what is odd about it.
+CONFIG_FIELDS = {
+    "version as a text": (("version",), "7"),
+    "infinite version": (("version",), math.inf),
+    "version as a truth value": (("version",), True),
+    "routes as an object": (("routes",), {}),
+    "route as a list": (("routes", 0), []),
+    "host as a number": (("routes", 0, "host"), 1),
+    "prefix of a surrogate": (("routes", 0, "prefix"), "/\ud800/"),
+    "infinite time limit": (("routes", 0, "timeoutMs"), math.inf),
+    "time limit as a text": (("routes", 0, "timeoutMs"), "5000"),
+    "time limit of 30 digits": (("routes", 0, "timeoutMs"), 10**30),
+    "priority as a text": (("routes", 0, "priority"), "1"),
+    "attempts as a list": (("routes", 0, "maxAttempts"), []),
+    "resumable as a number": (("routes", 0, "resumable"), 1),
+    "gap that is no number": (("routes", 0, "gapAimMs"), math.nan),
+    "service as a list": (("routes", 0, "service"), []),
+    "split as a number": (("routes", 0, "split"), 1),
+    "negative weight": (
+        ("routes", 0, "split"),
+        [{"service": "plain", "weight": -1}],
+    ),
+    "services as a number": (("services",), 1),
+    "connections as a text": (("services", 0, "maxConnections"), "100"),
+    "models as numbers": (("services", 0, "engine", "models"), [1]),
+    "infinite weights": (("services", 0, "engine", "weightsMb"), math.inf),
+    "model named by a list": (
+        ("services", 0, "engine", "models", 0, "name"),
+        [],
+    ),
+    "load time as a text": (
+        ("services", 0, "engine", "models", 0, "loadS"),
+        "6",
+    ),
+    "customers as a text": (("tenants",), "husk"),
+    "customer's name with a line end": (("tenants", 0, "name"), "a\r\nb"),
+    "keys as a text": (("tenants", 0, "apiKeys"), "key"),
+    "keys as lists": (("tenants", 0, "apiKeys"), [[]]),
+    "infinite rate": (("tenants", 0, "ratePerS"), math.inf),
+    "limits as a list": (("limits",), [1]),
+    "size limit as a text": (("limits", "maxBodyBytes"), "1"),
+    "negative time limit": (("limits", "idleTimeoutMs"), -1),
+}
 # Value of a row, by what is odd about it.
 BYTES = {
     "empty": b"",
@@ -118,6 +164,16 @@
     return _with_field(entry_builders.registration_body(), field, text)
 
 
+def config_with(path, value):
+    """Return a configuration with another value at a path."""
+    body = json.loads(entry_builders.config_body())
+    container = body
+    for key in path[:-1]:
+        container = container[key]
+    container[path[-1]] = value
+    return json.dumps(body).encode()
+
+
 def report_body():
     """Return the report of an engine."""
     body = {
--- a/features/steps/odd_rows_entries_steps.py
+++ b/features/steps/odd_rows_entries_steps.py
@@ -1,10 +1,12 @@
 """Steps about entries that meet rows of another writer."""
 
+import json
 import time
 
 from behave import then
 from behave import when
 
+from features import entry_builders
 from features import odd_values
 from features.standins import process
 
@@ -127,3 +129,31 @@
     same_process(context, name)
     lines = context.fleet.log(name, "endpoints: malformed")
     assert 10 <= len(lines) <= 20, lines
+
+
+@when("odd rows stand in the operator's table")
+def step_odd_operator(context):
+    for number, value in enumerate(odd_values.BYTES.values()):
+        if value.isascii():
+            put(context, "op", f"other-{number}", value.decode())
+            put(context, "op", f"evacuate/zone {number}\n", value.decode())
+            put(context, "op", "config", value.decode())
+    for path, value in odd_values.CONFIG_FIELDS.values():
+        value = odd_values.config_with(path, value)
+        put(context, "op", "config", value.decode())
+    # The poll that brings the last of these rows takes a moment.
+    time.sleep(1.0)
+
+
+@when('the operator removes the route of "{prefix}"')
+def step_remove_route(context, prefix):
+    body = json.loads(entry_builders.config_body())
+    routes = [r for r in body["routes"] if r["prefix"] != prefix]
+    context.fleet.configure(2, routes=routes)
+
+
+@then('within {s:g} s "{path}" is answered {status:d}')
+def step_answered_within(context, s, path, status):
+    process.wait_for(
+        lambda: context.fleet.ask("one", path).status == status, s
+    )
--- a/features/steps/odd_rows_steps.py
+++ b/features/steps/odd_rows_steps.py
@@ -2,6 +2,7 @@
 
 import codecs
 import json
+import math
 
 from behave import then
 from behave import when
@@ -13,6 +14,7 @@
 from dogwoodwheel.entry import registration_reader
 from dogwoodwheel import exceptions
 from dogwoodwheel.platform import engine_client
+from dogwoodwheel.platform import operator_table
 from dogwoodwheel.platform import registrations
 from dogwoodwheel.platform import store as store_module
 from features import entry_builders
@@ -312,3 +314,61 @@
         loading_adapters=frozenset(["m0/a2"]),
         memory_weights=frozenset(["m0"]),
     ), report
+
+
+@then("each odd configuration is refused as malformed")
+def step_odd_configs(context):
+    values = {
+        name: odd_values.config_with(*field)
+        for name, field in odd_values.CONFIG_FIELDS.items()
+    }
+    values.update(odd_values.BYTES)
+    check_refused(operator_table.decode, values)
+
+
+@then("{count:d} random configurations are decoded or refused as malformed")
+def step_random_configs(context, count):
+    def check(value):
+        found = outcome(operator_table.decode, value)
+        assert found in ("accepted", "refused"), (found, value)
+
+    check_random(odd_values.json_texts(), count, check)
+    texts = [entry_builders.config_body()]
+    check_random(odd_values.mutated_texts(texts), count, check)
+
+
+@then("a sound configuration is decoded")
+def step_sound_config(context):
+    split = [{"service": "plain", "weight": 90}]
+    routes = [
+        entry_builders.route_body(),
+        entry_builders.route_body(prefix="/chat/long/", split=split),
+        entry_builders.route_body("odd", host="B.example", kind="other"),
+    ]
+    config = operator_table.decode(entry_builders.config_body(routes=routes))
+    long, short = config.routes[entry_builders.HOST]
+    assert (long.prefix, long.services) == (
+        "/chat/long/",
+        (("plain", 90.0),),
+    ), long
+    assert short == datatypes.Route(
+        name="chat",
+        host=entry_builders.HOST,
+        prefix="/chat/",
+        kind="stream",
+        services=(("models", 1.0),),
+        timeout_s=5.0,
+        target_latency_s=0.5,
+        priority=1,
+        max_attempts=2,
+        resumable=True,
+        max_event_gap_s=0.4,
+    ), short
+    assert config.routes["b.example"][0].kind == datatypes.RouteKind.ONCE
+    engine = config.services["models"].engine
+    assert engine.memory_mb == 200 and len(engine.models) == 4, engine
+    assert engine.disk_mb == math.inf, engine
+    assert config.services["plain"].engine is None
+    assert config.keys["key-husk"] == "husk"
+    assert config.customers["frost"].rate_in_tokens
+    assert config.limits.idle_timeout_s == 15.0
