Decode replies of the store within bounds

What callers may see: an entry ends, as an error that nobody expects leaves the task that follows the store, if a reply of the store is nested too deeply, is no object, or has a row without base64 or a version.

The replies go through the bounded decoder. A reply that cannot be read is an outcome that is unknown; a row that cannot be read is left out and logged. The versions with eras move to a module of their own.

--- a/dogwoodwheel/entry/lease.py
+++ b/dogwoodwheel/entry/lease.py
@@ -30,6 +30,7 @@
 from dogwoodwheel import exceptions
 from dogwoodwheel.membership import view
 from dogwoodwheel.platform import store as store_module
+from dogwoodwheel.platform import versions
 
 __all__ = ["Lease"]
 
@@ -245,7 +246,7 @@
             logger.info(
                 "lease: renewed in the restored store",
                 token=self.fencing_token,
-                row=store_module.describe_version(expected.version),
+                row=versions.describe(expected.version),
             )
         try:
             row = await self._write_row(expected)
@@ -264,7 +265,7 @@
 
     def _is_before_restore(self, row):
         """Return whether the store was restored since a row was read."""
-        return store_module.era_of(row.version) < self._store.era
+        return versions.era_of(row.version) < self._store.era
 
     def _extend_until(self, ends_at):
         self._ends_at = ends_at
@@ -317,7 +318,7 @@
             return
         row = await self._store.read(TABLE, ROW_KEY)
         now = self._clock()
-        known_version = row.version or store_module.era_start(self._store.era)
+        known_version = row.version or versions.era_start(self._store.era)
         if known_version != self._newest_known_version[0]:
             self._newest_known_version = (known_version, now)
         holder_info = _decode_holder_info(row)
@@ -349,7 +350,7 @@
         """
         if not row.version:
             return self._first_start
-        return holder_info.get("era", 0) == store_module.era_of(row.version)
+        return holder_info.get("era", 0) == versions.era_of(row.version)
 
     async def _acquire(self, row, holder_info):
         began_at = self._clock()
--- a/dogwoodwheel/entry/registration_reader.py
+++ b/dogwoodwheel/entry/registration_reader.py
@@ -7,7 +7,7 @@
 
 from dogwoodwheel import exceptions
 from dogwoodwheel.platform import registrations
-from dogwoodwheel.platform import store as store_module
+from dogwoodwheel.platform import versions
 
 __all__ = ["RegistrationReader"]
 
@@ -95,7 +95,7 @@
                     zone=endpoint.zone,
                     ready=endpoint.ready,
                     cold_s=round(endpoint.cold_s, 1),
-                    row=store_module.describe_version(version),
+                    row=versions.describe(version),
                 )
         for name in self._endpoints.keys() - endpoints.keys():
             logger.info("endpoints: no longer registered", id=name)
--- a/dogwoodwheel/entry/watchers.py
+++ b/dogwoodwheel/entry/watchers.py
@@ -9,6 +9,7 @@
 from dogwoodwheel.platform import operator_table
 from dogwoodwheel.platform import registrations
 from dogwoodwheel.platform import store as store_module
+from dogwoodwheel.platform import versions
 from dogwoodwheel.wire import messages
 
 __all__ = ["EndpointWatcher", "watch_operator"]
@@ -97,7 +98,7 @@
 
     def receive_scan(self, msg):
         """Apply a scan of a peer if it is newer than the last applied one."""
-        self._store.observe_era(store_module.era_of(msg.version))
+        self._store.observe_era(versions.era_of(msg.version))
         rows = [
             store_module.Row(registrations.TABLE, *row) for row in msg.rows
         ]
@@ -136,9 +137,9 @@
             or scan_began_at <= self._fleet_state.scanned_at
         ):
             return False
-        store_was_restored = self._store_version and store_module.era_of(
+        store_was_restored = self._store_version and versions.era_of(
             self._store_version
-        ) < store_module.era_of(store_version)
+        ) < versions.era_of(store_version)
         self._store_version = store_version
         self._fleet_state.apply_scan(
             self._reader.read(rows), scan_began_at, store_was_restored
@@ -238,10 +239,8 @@
             if snapshot is None:
                 logger.info(
                     "operator: peers know a newer version, scanning again",
-                    row=store_module.describe_version(
-                        self.fleet_state.operator_row
-                    ),
-                    told=store_module.describe_version(
+                    row=versions.describe(self.fleet_state.operator_row),
+                    told=versions.describe(
                         self.fleet_state.peer_operator_version
                     ),
                     era=self.store.era,
@@ -265,14 +264,14 @@
         known_zones = self.evacuated_zones | self.unconfirmed_zones
         self.evacuated_zones.clear()
         self._apply_rows(snapshot.rows)
-        era = store_module.era_of(snapshot.version)
+        era = versions.era_of(snapshot.version)
         if self._scanned_era and era > self._scanned_era:
             self.unconfirmed_zones = known_zones - self.evacuated_zones
             self.unconfirmed_until = trio.current_time() + REWRITE_S
             logger.warning(
                 "operator: read again from the restored store",
                 era=era,
-                row=store_module.describe_version(snapshot.version),
+                row=versions.describe(snapshot.version),
                 unconfirmed=sorted(self.unconfirmed_zones),
             )
         self._scanned_era = max(self._scanned_era, era)
@@ -316,7 +315,7 @@
             ):
                 continue
             newest_version = self.fleet_state.peer_operator_version
-            known_era = store_module.era_of(previous_version)
+            known_era = versions.era_of(previous_version)
             if previous_version < newest_version or known_era < self.store.era:
                 self._poll_scope.cancel()
 
@@ -341,7 +340,7 @@
             "operator: evacuation",
             zone=zone,
             evacuated=row.value is not None,
-            row=store_module.describe_version(row.version),
+            row=versions.describe(row.version),
         )
 
     def _apply_configuration(self, row):
@@ -352,7 +351,7 @@
         except exceptions.DeclarationError as exc:
             logger.error(
                 "operator: malformed configuration",
-                row=store_module.describe_version(row.version),
+                row=versions.describe(row.version),
                 why=exc.faults[0],
             )
             return
@@ -360,7 +359,7 @@
             logger.info(
                 "operator: configuration",
                 version=config.version,
-                row=store_module.describe_version(row.version),
+                row=versions.describe(row.version),
                 routes=sum(map(len, config.routes.values())),
                 keys=len(config.keys),
             )
--- a/dogwoodwheel/platform/store.py
+++ b/dogwoodwheel/platform/store.py
@@ -2,12 +2,7 @@
 
 Notes
 -----
-The platform may restore the store from a copy that is some seconds old.  The
-store then gives out version numbers again that it has given out before, and
-its era, a number that all its replies contain, rises by one.  The versions of
-this module therefore contain the era in their upper bits, so that versions of
-a later era are always higher.  Versions of earlier eras say nothing about the
-rows that the store has now.
+All versions contain the store's era, see `dogwoodwheel.platform.versions`.
 """
 
 import base64
@@ -21,14 +16,13 @@
 
 from dogwoodwheel.engines import http
 from dogwoodwheel import exceptions
+from dogwoodwheel.platform import decoding
+from dogwoodwheel.platform import versions
 
 __all__ = [
     "Row",
     "Rows",
     "Store",
-    "describe_version",
-    "era_of",
-    "era_start",
 ]
 
 # A call usually takes 4 ms.  If it has not returned after CALL_TIMEOUT_S, a
@@ -51,31 +45,6 @@
 COMPACTED = 410
 REQUEST_HEADERS = ((b"content-type", b"application/json"),)
 ERA_HEADER = b"store-era"
-# Versions of later eras would not fit into 53 bits, the integers that every
-# JSON library reads exactly.
-MAX_ERA = (1 << 13) - 1
-MAX_ERA_DIGITS = len(str(MAX_ERA))
-# Number of low bits of a version that contain the store's own number.
-ERA_SHIFT = 40
-
-
-def era_start(era):
-    """Return the version of an empty store in an era."""
-    return era << ERA_SHIFT
-
-
-def era_of(version):
-    """Return the era of a version; 0 if it stands for an absent row."""
-    return version >> ERA_SHIFT
-
-
-def describe_version(version):
-    """Return a version as ``ERA/NUMBER``, for log lines."""
-    return f"{era_of(version)}/{_number_of(version)}"
-
-
-def _number_of(version):
-    return version & ((1 << ERA_SHIFT) - 1)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -155,7 +124,7 @@
         ValueError
             If it is no whole number from 0 to `MAX_ERA`.
         """
-        if not isinstance(era, int) or not 0 <= era <= MAX_ERA:
+        if not isinstance(era, int) or not 0 <= era <= versions.MAX_ERA:
             raise ValueError(f"{era!r} is no era; upgrade the peer")
         if era <= self.era:
             return
@@ -207,11 +176,12 @@
                 raise exceptions.PlatformError(
                     "the store was restored during a scan; scan again"
                 )
-            rows.extend(_parse_row(row, era) for row in body["rows"])
+            page = _parse_rows(body, era)
+            rows.extend(page)
             if version is None:
                 first_era = era
-                version = era_start(era) + body["ver"]
-            if not body.get("hasMore"):
+                version = versions.era_start(era) + body.integer("ver")
+            if not page or not body.flag("hasMore", False):
                 return Rows(tuple(rows), version)
             first_key = rows[-1].key + "\0"
 
@@ -247,25 +217,25 @@
         PlatformError
             If the call fails.
         """
-        self.observe_era(era_of(after_version))
+        self.observe_era(versions.era_of(after_version))
         era = self.era
-        if era_of(after_version) == era:
+        if versions.era_of(after_version) == era:
             query = {
                 "table": table,
-                "after": str(_number_of(after_version)),
+                "after": str(versions.number_of(after_version)),
                 "waitMs": str(int(wait_s * 1000)),
             }
             body, era = await self._get(
                 "rows-feed", query, wait_s + CALL_TIMEOUT_S
             )
-        if era_of(after_version) != era:
+        if versions.era_of(after_version) != era:
             # The store may have the number, but with other changes before.
             raise exceptions.HistoryLostError(
                 "the store was restored since that version; read the whole "
                 "table"
             )
-        rows = tuple(_parse_row(row, era) for row in body["rows"])
-        return Rows(rows, era_start(era) + body["ver"])
+        rows = _parse_rows(body, era)
+        return Rows(rows, versions.era_start(era) + body.integer("ver"))
 
     async def commit(
         self, expected_rows, writes, deletes=(), timeout_s=CALL_TIMEOUT_S
@@ -301,7 +271,7 @@
         PlatformError
             If the commit failed and no row was changed.
         """
-        eras = {era_of(r.version) for r in expected_rows if r.version}
+        eras = {versions.era_of(r.version) for r in expected_rows if r.version}
         self.observe_era(max(eras, default=0))
         if eras - {self.era}:
             raise exceptions.ConflictError(
@@ -310,7 +280,7 @@
             )
         body = {
             "expected": [
-                {**_key_fields(r), "ver": _number_of(r.version)}
+                {**_key_fields(r), "ver": versions.number_of(r.version)}
                 for r in expected_rows
             ],
             "writes": [
@@ -327,7 +297,7 @@
                 "the store was restored during a commit; read the row again "
                 "to learn the outcome"
             )
-        return era_start(era) + reply["ver"]
+        return versions.era_start(era) + reply.integer("ver")
 
     async def put_object(self, name, data):
         """Store an object, as bytes, under a name.
@@ -361,12 +331,17 @@
     async def _call(self, method, target, body, timeout_s):
         data, era = await self._send(method, target, body, timeout_s)
         try:
-            return json.loads(data), era
-        except ValueError as exc:
+            reply = decoding.JsonObject.from_json(
+                data, "a reply of the store", MAX_REPLY_BYTES
+            )
+            reply.integer("ver", maximum=versions.MAX_NUMBER)
+            reply.items("rows", ())
+        except exceptions.DeclarationError as exc:
             raise exceptions.OutcomeUnknownError(
-                "the store's reply is malformed; after a write, read the row "
-                "again to learn the outcome"
+                f"{exc.faults[0]}; after a write, read the row again to learn "
+                f"the outcome"
             ) from exc
+        return reply, era
 
     async def _send(self, method, target, body, timeout_s):
         """Return the body of the reply, and the era in which it was given."""
@@ -421,21 +396,41 @@
 def _parse_era(reply):
     """Return the era that a reply names; 0 for none."""
     value = reply.header(ERA_HEADER)
-    if value.isdigit() and len(value) <= MAX_ERA_DIGITS:
-        era = int(value)
-        if era <= MAX_ERA:
-            return era
-    if value:
+    if not value:
+        return 0
+    era = decoding.parse_digits(value, versions.MAX_ERA)
+    if era is None:
         logger.warning("store: malformed era", value=value[:40])
-    return 0
+        return 0
+    return era
 
 
 def _key_fields(row):
     return {"table": row.table, "part": "", "key": row.key}
 
 
+def _parse_rows(reply, era):
+    """Return the rows of a reply, without those that are malformed."""
+    rows = []
+    for raw in reply.items("rows", ()):
+        try:
+            rows.append(_parse_row(raw, era))
+        except exceptions.DeclarationError as exc:
+            logger.warning("store: malformed row", why=exc.faults[0])
+    return tuple(rows)
+
+
 def _parse_row(raw, era):
-    deleted = raw.get("deleted") or raw.get("value") is None
-    value = None if deleted else base64.b64decode(raw["value"])
-    version = era_start(era) + raw["ver"]
-    return Row(raw["table"], raw["key"], version, value)
+    fields = decoding.JsonObject.from_value(raw, "a row")
+    table, key = (raw.get(name) for name in ("table", "key"))
+    if not isinstance(table, str) or not isinstance(key, str):
+        raise decoding.error("a row", "its table or key is no text")
+    number = fields.integer("ver", maximum=versions.MAX_NUMBER)
+    is_deleted = fields.flag("deleted", False)
+    value = None if is_deleted else raw.get("value")
+    if value is not None:
+        try:
+            value = base64.b64decode(value, validate=True)
+        except (TypeError, ValueError) as exc:
+            raise decoding.error(f"row {key!r}", exc) from exc
+    return Row(table, key, versions.era_start(era) + number, value)
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -11,6 +11,7 @@
 from dogwoodwheel import exceptions
 from dogwoodwheel.platform import registrations
 from dogwoodwheel.platform import store as store_module
+from dogwoodwheel.platform import versions
 from dogwoodwheel.wire import messages
 from features import restored_fleet
 from features.standins import rows as rows_module
@@ -429,7 +430,7 @@
             rows.restore(1.0)
             store_replay.write(rows, "t", "b", "other")
             assert rows.get("t", "b").version == (
-                before.version - store_module.era_start(store.era)
+                before.version - versions.era_start(store.era)
             )
             if knows_restore:
                 await store.scan("t")
