Resume a stream only with a reply of the same status and type

What callers saw: a stream that had broken off ended as if it were complete, where the next endpoint answered 204, or with another 2xx or another content type; its body was taken for the rest of the stream.

Cause: any signed 2xx reply counted as the rest of a stream.

Why it works: the caller has the status and headers of the first reply, so only a reply of that form can be its rest.

--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -86,6 +86,8 @@
         self.rate_limit = None
         self.splitter = None
         self.weights_version = b""
+        # Status and media type of the stream that the caller receives.
+        self.started_reply = None
         self.mark_prompt_processed = None
         self.requirements = endpoint_selection.Requirements(
             admitted.service,
@@ -355,6 +357,8 @@
             b"content-encoding"
         ):
             raise exceptions.ReplyError("a reply without a valid signature")
+        if self.started_reply not in (None, http_headers.reply_form(reply)):
+            raise exceptions.ReplyError("a reply that is no such stream")
         self.prompt_guard.record_head()
         if self.splitter is not None:
             await self._relay_stream(reply, silence_scope)
@@ -465,6 +469,7 @@
 
     async def _start_answer(self, reply):
         self.weights_version = http_headers.weights_version(reply)
+        self.started_reply = http_headers.reply_form(reply)
         await self.caller.start(
             reply.status, http_headers.for_caller(reply.headers)
         )
--- a/dogwoodwheel/platform/http_headers.py
+++ b/dogwoodwheel/platform/http_headers.py
@@ -14,6 +14,7 @@
     "for_caller",
     "for_endpoint",
     "request_rate_limit",
+    "reply_form",
     "reported_request_counts",
     "server_seal",
     "was_not_executed",
@@ -200,6 +201,12 @@
     )
 
 
+def reply_form(reply):
+    """Return a reply's status and media type, which two parts share."""
+    media_type = reply.header(b"content-type").partition(b";")[0]
+    return reply.status, media_type.strip().lower()
+
+
 def server_seal(reply):
     """Return the endpoint's signature of a reply; empty if unsigned."""
     return reply.header(b"x-server-seal")
--- a/features/resumed_streams.feature
+++ b/features/resumed_streams.feature
@@ -17,6 +17,9 @@
       | full           | 3    |
       | unsigned       | 3    |
       | restart        | 3    |
+      | no_content     | 3    |
+      | other_type     | 3    |
+      | partial        | 3    |
       | unnumbered     | 3    |
       | error_inside   | 3    |
 
