Do not take a closed connection for the end of a resumed stream

What callers saw: a stream that had broken off ended as complete, if the next endpoint closed its connection after the head of a reply without a length, as one that crashes does.

Cause: such an end is refused only before the first event, and the events of earlier attempts counted.

Evidence: "empty_unframed" of a resumed stream ended as whole after event 3 before the change, and is cut there now.

Why it works: the events of the attempt itself are counted. A reply with a length or chunks and no event still ends a stream: an endpoint that is asked for what follows the last event has nothing else to send.

--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -457,7 +457,10 @@
             )
         if splitter.has_partial_event:
             raise exceptions.ReplyError("a stream ended within an event")
-        if reply.ends_with_connection and not splitter.event_count:
+        if (
+            reply.ends_with_connection
+            and splitter.event_count == events_before
+        ):
             # An endpoint that crashes closes the connection, too.
             raise exceptions.ReplyError(
                 "a stream ended before its first event"
--- a/features/resumed_streams.feature
+++ b/features/resumed_streams.feature
@@ -16,6 +16,7 @@
       | ran_503        | 3    |
       | full           | 3    |
       | unsigned       | 3    |
+      | empty_unframed | 3    |
       | restart        | 3    |
       | no_content     | 3    |
       | other_type     | 3    |
