Let no failed connection end the process

Callers saw: all connections to an entry ended at once, without answers to the requests that had been passed on. One request was enough, from anyone who reaches the address of callers, without a key: an offer to change to HTTP/2 with settings that are no base64 or out of bounds, or the preface of HTTP/2 and a header frame with a path that is not ASCII, or with CONNECT. The entry ended with code 1. An offer of HTTP/2 without settings was answered in HTTP/2, which the caller had not asked for.

Cause: hypercorn runs all connections in one nursery, and does not handle these errors of h2 and of its own; an error in one connection ends the server, and with it the process. The class: one failure domain for connections of different callers.

`programs/http_server.py` serves each connection with hypercorn as before, but logs an error in one and closes only that. Entries stay with HTTP/1.1, as they do not list HTTP/2 for callers; gateways, whose callers may use it over TLS, and the metrics server use the same module. The applications get no lifespan events any more, in which they did nothing.

Ruled out: errors of the application, which hypercorn catches, and malformed HTTP/1.1, which h11 answers with 400.

--- a/dogwoodwheel/entry/app.py
+++ b/dogwoodwheel/entry/app.py
@@ -49,9 +49,7 @@
         self.running_requests = 0
 
     async def __call__(self, scope, receive, send):
-        if scope["type"] == "lifespan":
-            await asgi.serve_lifespan(receive, send)
-        elif scope["type"] == "http":
+        if scope["type"] == "http":
             self.running_requests += 1
             try:
                 await self._serve(scope, receive, send)
@@ -163,9 +161,7 @@
         self.metrics = metrics
 
     async def __call__(self, scope, receive, send):
-        if scope["type"] == "lifespan":
-            await asgi.serve_lifespan(receive, send)
-        elif scope["type"] == "http":
+        if scope["type"] == "http":
             status, body = self._build_reply(scope)
             await asgi.send_response(send, status, JSON_CONTENT_TYPE, body)
 
--- a/dogwoodwheel/programs/admin.py
+++ b/dogwoodwheel/programs/admin.py
@@ -3,8 +3,9 @@
 import json
 
 import hypercorn.config
-import hypercorn.trio
+import trio
 
+from dogwoodwheel.programs import http_server
 from dogwoodwheel.programs import metrics as metrics_module
 from dogwoodwheel.requests import asgi
 
@@ -39,9 +40,7 @@
     """
 
     async def app(scope, receive, send):
-        if scope["type"] == "lifespan":
-            await asgi.serve_lifespan(receive, send)
-        elif scope["type"] == "http":
+        if scope["type"] == "http":
             response = _respond(scope, metrics, is_ready, make_status)
             await asgi.send_response(send, *response, scope["method"])
 
@@ -51,7 +50,7 @@
     server_config.errorlog = None
     server_config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
     options = {} if task_status is None else {"task_status": task_status}
-    await hypercorn.trio.serve(app, server_config, mode="asgi", **options)
+    await http_server.serve(app, server_config, trio.sleep_forever, **options)
 
 
 def _respond(scope, metrics, is_ready, make_status):
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -7,7 +7,6 @@
 
 import cyclopts
 import hypercorn.config
-import hypercorn.trio
 from loguru import logger
 import trio
 
@@ -22,6 +21,7 @@
 from dogwoodwheel.platform import engine_client
 from dogwoodwheel.platform import settings_file
 from dogwoodwheel.platform import store as store_module
+from dogwoodwheel.programs import http_server
 from dogwoodwheel.programs import logs
 from dogwoodwheel.programs import metrics as metrics_module
 from dogwoodwheel.programs import runner
@@ -196,23 +196,23 @@
         )
 
     async def _serve_callers(self, task_status):
-        await hypercorn.trio.serve(
+        await http_server.serve(
             self.caller_app,
             self._caller_server_config,
-            shutdown_trigger=self._stop_accepting_callers.wait,
+            self._stop_accepting_callers.wait,
+            http1_only=True,
             task_status=task_status,
-            mode="asgi",
         )
         self._caller_server_ended.set()
 
     async def _serve_status(self, task_status):
         cfg = self.cfg
-        await hypercorn.trio.serve(
+        await http_server.serve(
             self.status_app,
             _make_server_config([cfg.readiness, cfg.directory, cfg.metrics]),
-            shutdown_trigger=trio.sleep_forever,
+            trio.sleep_forever,
+            http1_only=True,
             task_status=task_status,
-            mode="asgi",
         )
 
     async def _maintain_periodically(self):
--- a/dogwoodwheel/programs/gateway.py
+++ b/dogwoodwheel/programs/gateway.py
@@ -7,7 +7,6 @@
 
 import cyclopts
 import hypercorn.config
-import hypercorn.trio
 from loguru import logger
 import trio
 
@@ -15,6 +14,7 @@
 from dogwoodwheel import exceptions
 from dogwoodwheel.platform import tables
 from dogwoodwheel.programs import admin
+from dogwoodwheel.programs import http_server
 from dogwoodwheel.programs import metrics as metrics_module
 from dogwoodwheel.programs import runner
 from dogwoodwheel.programs import settings as settings_module
@@ -123,12 +123,11 @@
 
 async def _listen(cfg, components, shutdown, stopped, task_status):
     """Serve callers until ``shutdown`` is set and all replies are sent."""
-    await hypercorn.trio.serve(
+    await http_server.serve(
         app_module.App(components),
         _make_server_config(cfg),
-        shutdown_trigger=shutdown.wait,
+        shutdown.wait,
         task_status=task_status,
-        mode="asgi",
     )
     stopped.set()
 
--- a/dogwoodwheel/requests/app.py
+++ b/dogwoodwheel/requests/app.py
@@ -5,7 +5,6 @@
 import trio
 
 from dogwoodwheel import exceptions
-from dogwoodwheel.requests import asgi
 from dogwoodwheel.requests import callers
 from dogwoodwheel.requests import refusals
 from dogwoodwheel.requests import request_limits
@@ -30,9 +29,7 @@
         self.components = components
 
     async def __call__(self, scope, receive, send):
-        if scope["type"] == "lifespan":
-            await asgi.serve_lifespan(receive, send)
-        elif scope["type"] == "http":
+        if scope["type"] == "http":
             await self._http(scope, receive, send)
 
     async def _http(self, scope, receive, send):
--- a/dogwoodwheel/requests/asgi.py
+++ b/dogwoodwheel/requests/asgi.py
@@ -1,26 +1,6 @@
 """Functions for ASGI events, used by several applications."""
 
-__all__ = ["serve_lifespan", "send_response"]
-
-
-async def serve_lifespan(receive, send):
-    """Answer lifespan events until the server shuts down.
-
-    Parameters
-    ----------
-    receive, send : callable
-        Functions of the ASGI server.
-
-    Notes
-    -----
-    The server crashes if an application returns from the lifespan scope
-    at once.
-    """
-    while True:
-        event = await receive()
-        await send({"type": event["type"] + ".complete"})
-        if event["type"] == "lifespan.shutdown":
-            return
+__all__ = ["send_response"]
 
 
 async def send_response(send, status, content_type, body, method="GET"):
--- /dev/null
+++ b/features/kept_connections.feature
@@ -0,0 +1,28 @@
+Feature: A request on a kept connection gets an answer
+
+  Background:
+    Given a store, the workers "e1 e2" with the model "m0" and "p1 p2"
+    And the entries "one" and "two"
+    And a caller keeps a connection to the entry "one"
+
+  Scenario Outline: A caller offers a protocol that the entry does not speak
+    When another caller asks for "/stock/7" with the header "<header>"
+    Then it gets 200 in HTTP/1.1
+    And the kept connection gets 200
+
+    Examples:
+      | header                                       |
+      | Upgrade: h2c                                 |
+      | Upgrade: h2c; HTTP2-Settings: AAMAAABkAAQAoA |
+      | Upgrade: h2c; HTTP2-Settings: A              |
+      | Upgrade: h2c; HTTP2-Settings: AAX/////       |
+      | Upgrade: websocket; Connection: Upgrade      |
+
+  Scenario Outline: A caller begins with the preface of HTTP/2
+    When another caller sends the preface of HTTP/2 and the frame "<frame>"
+    Then the kept connection gets 200
+
+    Examples:
+      | frame |
+      | 000009010500000001828641016104022fe9 |
+      | 00000c0105000000010207434f4e4e454354410161 |
--- /dev/null
+++ b/features/steps/kept_connection_steps.py
@@ -0,0 +1,79 @@
+"""Steps about requests on connections that callers keep open."""
+
+import contextlib
+import http.client
+import socket
+
+from behave import given
+from behave import then
+from behave import when
+
+from features import entry_builders
+from features import entry_fleet
+
+TIMEOUT_S = 5.0
+HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+EMPTY_SETTINGS_FRAME = bytes.fromhex("000000040000000000")
+
+
+@given('a caller keeps a connection to the entry "{name}"')
+def step_keep(context, name):
+    context.kept = connection(context, name)
+    step_kept_gets(context, 200)
+
+
+@when('another caller asks for "{path}" with the header "{headers}"')
+def step_ask_with(context, path, headers):
+    fields = dict(field.split(": ") for field in headers.split("; "))
+    conn = connection(context, "one")
+    context.reply = exchange(conn, path, **fields)
+    conn.close()
+
+
+@when('another caller sends the preface of HTTP/2 and the frame "{frame}"')
+def step_preface(context, frame):
+    data = HTTP2_PREFACE + EMPTY_SETTINGS_FRAME + bytes.fromhex(frame)
+    host, _, port = context.fleet.front("one").rpartition(":")
+    with socket.create_connection((host, int(port)), TIMEOUT_S) as sock:
+        sock.sendall(data)
+        with contextlib.suppress(ConnectionResetError):
+            while sock.recv(65536):
+                pass
+
+
+@then("it gets {status:d} in HTTP/1.1")
+def step_http_1(context, status):
+    assert context.reply.status == status, context.reply.status
+    assert context.reply.version == 11, context.reply.version
+
+
+@then("the kept connection gets {status:d}")
+def step_kept_gets(context, status):
+    reply = exchange(context.kept, "/stock/7")
+    assert reply.status == status, reply.status
+    # `http.client` has forgotten the socket if the reply closes it.
+    assert context.kept.sock is not None
+
+
+def connection(context, name):
+    """Return a connection that is opened once and never again."""
+    host, _, port = context.fleet.front(name).rpartition(":")
+    conn = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT_S)
+    conn.connect()
+    conn.auto_open = 0
+    return conn
+
+
+def exchange(conn, path, method="GET", body=None, **headers):
+    """Send a request; return its reply, which has been read."""
+    fields = {
+        "Host": entry_builders.HOST,
+        "Authorization": f"Token {entry_fleet.KEY}",
+        "X-Request-Id": "kept",
+        "X-Request-Deadline": "4000",
+        **{name.replace("_", "-"): value for name, value in headers.items()},
+    }
+    conn.request(method, path, body, fields)
+    reply = conn.getresponse()
+    reply.body = reply.read()
+    return reply
