Refuse numbers of tokens that heartbeats cannot hold

Callers saw: all connections to an entry ended without answers.

Cause: the number is added to the tokens in flight at the endpoint, which heartbeats carry as integers of 64 bits; msgpack raised OverflowError in the task that sends heartbeats, and an error in a task ends the process. Other numbers were taken as they came: negative ones, which count as tokens that other prompts do not use, and a deadline that is not a number, which was answered 500.

All numbers of tokens that a caller states are now from 0 to 1e9, and others are answered 400, as is a deadline that is not a number.

Evidence: 5 scenarios of kept_connections.feature failed before (two found the entry ended, three got another status than 400) and pass now.

--- a/dogwoodwheel/platform/http_headers.py
+++ b/dogwoodwheel/platform/http_headers.py
@@ -22,6 +22,9 @@
 ]
 
 MS_PER_S = 1000.0
+# Maximum number of tokens that a header may state.  The sum over all requests
+# in flight must fit into the 64-bit integers of heartbeats.
+MAX_TOKEN_COUNT = 1_000_000_000
 AUTH_SCHEME = b"token "
 # Headers of a caller's request that are not forwarded, because the entry sets
 # them itself or because they must not reach an endpoint.
@@ -124,8 +127,8 @@
         ),
         model=model,
         adapter=adapter,
-        prompt_tokens=int(raw_prompt_tokens),
-        output_tokens=int(raw_output_tokens or 0),
+        prompt_tokens=_parse_token_count(raw_prompt_tokens),
+        output_tokens=_parse_token_count(raw_output_tokens or "0"),
         prompt_prefix=_parse_prompt_prefix(
             headers_by_name.get(b"x-prompt-prefix", "")
         ),
@@ -280,7 +283,12 @@
 
 
 def _parse_deadline_s(value):
-    return None if value is None else float(value) / MS_PER_S
+    if value is None:
+        return None
+    deadline_s = float(value) / MS_PER_S
+    if math.isnan(deadline_s):
+        raise ValueError("the deadline is not a number")
+    return deadline_s
 
 
 def _parse_prompt_prefix(value):
@@ -288,5 +296,12 @@
     for item in value.split(","):
         name, colon, tokens = item.strip().partition(":")
         if colon:
-            sections.append((name, int(tokens)))
+            sections.append((name, _parse_token_count(tokens)))
     return tuple(sections)
+
+
+def _parse_token_count(value):
+    count = int(value)
+    if not 0 <= count <= MAX_TOKEN_COUNT:
+        raise ValueError(f"a number of tokens is from 0 to {MAX_TOKEN_COUNT}")
+    return count
--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -26,3 +26,17 @@
       | frame |
       | 000009010500000001828641016104022fe9 |
       | 00000c0105000000010207434f4e4e454354410161 |
+
+  Scenario Outline: A caller states numbers that no other part can hold
+    Given plain workers answer after 1 s
+    When another caller asks for "/open/7" with the header "<header>"
+    Then it gets 400 in HTTP/1.1
+    And the kept connection gets 200
+
+    Examples:
+      | header                                         |
+      | X-Token-Count: 99999999999999999999999999,1    |
+      | X-Token-Count: -99999999999999999999999999,1   |
+      | X-Token-Count: 5,-1                            |
+      | X-Prompt-Prefix: ab:99999999999999999999999999 |
+      | X-Request-Deadline: nan                        |
--- a/features/steps/kept_connection_steps.py
+++ b/features/steps/kept_connection_steps.py
@@ -22,6 +22,12 @@
     step_kept_gets(context, 200)
 
 
+@given("plain workers answer after {seconds:d} s")
+def step_delay(context, seconds):
+    for name in ("p1", "p2"):
+        context.fleet.workers[name].call("set", delay_s=seconds)
+
+
 @when('another caller asks for "{path}" with the header "{headers}"')
 def step_ask_with(context, path, headers):
     fields = dict(field.split(": ") for field in headers.split("; "))
