Let no failed background task end the process

Callers saw: all connections to an entry ended at once, without answers to the requests that had been passed on; with a cause that all entries read, such as a row of the store, it was all entries.

Cause: the tasks of an entry (watchers, heartbeats, membership, lease, leader, maintenance) run in one nursery with the server of callers. Any error that they do not expect ended it. Two that were found: a row of the lease, and a row of the table of entries, that are no msgpack of the expected shape.

A task that fails is logged with its trace, counted and started again. That is safe at any point: the watchers read all from the beginning, the lease ends by its own clock unless it is renewed, and orders that were cut off are seen in the next report of the engine.

--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -25,6 +25,7 @@
 from dogwoodwheel.programs import logs
 from dogwoodwheel.programs import metrics as metrics_module
 from dogwoodwheel.programs import runner
+from dogwoodwheel.programs import supervision
 
 __all__ = ["main", "serve"]
 
@@ -164,19 +165,28 @@
         await nursery.start(self._serve_status)
         await nursery.start(self._serve_callers)
         heartbeats = self.components.heartbeats
-        nursery.start_soon(
-            watchers.watch_operator, self.store, fleet_state, heartbeats
-        )
         endpoint_watcher = watchers.EndpointWatcher(
             self.store, fleet_state, heartbeats, self.cfg
         )
-        nursery.start_soon(endpoint_watcher.run)
-        nursery.start_soon(self.components.heartbeats.run)
-        nursery.start_soon(self.member.run)
-        nursery.start_soon(self.lease.run, self.member.is_ready)
-        nursery.start_soon(self.lease.extend)
-        nursery.start_soon(self.leader.run)
-        nursery.start_soon(self._maintain_periodically)
+        tasks = {
+            "operator": (
+                watchers.watch_operator,
+                self.store,
+                fleet_state,
+                heartbeats,
+            ),
+            "endpoints": (endpoint_watcher.run,),
+            "heartbeats": (heartbeats.run,),
+            "membership": (self.member.run,),
+            "lease": (self.lease.run, self.member.is_ready),
+            "lease extension": (self.lease.extend,),
+            "leader": (self.leader.run,),
+            "maintenance": (self._maintain_periodically,),
+        }
+        for name, task in tasks.items():
+            nursery.start_soon(
+                supervision.keep_running, self.metrics, name, *task
+            )
 
     async def stop(self):
         """Leave the directory, release the lease and finish requests."""
--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -161,6 +161,12 @@
         answer = ask(address, "GET", "/api/resolve?name=a&region=b&zone=c")
         return json.loads(answer.body)["addresses"]
 
+    def metrics(self, name):
+        """Return the metrics of an entry, as text."""
+        fields = self.entries[name][1]
+        port = int(fields["portRange"].partition(",")[0]) + 1
+        return ask(f"{fields['ip']}:{port}", "GET", "/metrics").body.decode()
+
     def front(self, name):
         """Return the address at which an entry meets callers."""
         return self.entries[name][1]["listen.front"]
--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -40,3 +40,13 @@
       | X-Token-Count: 5,-1                            |
       | X-Prompt-Prefix: ab:99999999999999999999999999 |
       | X-Request-Deadline: nan                        |
+
+  Scenario Outline: A row of the store holds what no entry writes
+    When the row "<row>" of the table "<table>" is overwritten for 2 s
+    Then the kept connection gets 200
+    And the entry "one" has counted an error of the task "<task>"
+
+    Examples:
+      | table        | row    | task       |
+      | dogwoodwheel | leader | lease      |
+      | entries      | other  | membership |
--- a/features/steps/kept_connection_steps.py
+++ b/features/steps/kept_connection_steps.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import socket
+import time
 
 from behave import given
 from behave import then
@@ -47,6 +48,22 @@
                 pass
 
 
+@when(
+    'the row "{key}" of the table "{table}" is overwritten for {seconds:d} s'
+)
+def step_overwrite(context, key, table, seconds):
+    context.fleet.store.call("put", table=table, key=key, value="odd")
+    time.sleep(seconds)
+    context.fleet.store.call("delete", table=table, key=key)
+
+
+@then('the entry "{name}" has counted an error of the task "{task}"')
+def step_task_error(context, name, task):
+    counter = f'dogwoodwheel_task_errors_total{{task="{task}"}}'
+    text = context.fleet.metrics(name)
+    assert counter in text, text
+
+
 @then("it gets {status:d} in HTTP/1.1")
 def step_http_1(context, status):
     assert context.reply.status == status, context.reply.status
