Cut no answer at whose beginning its deadline passes

Callers saw: the head of an answer, and then the end of the connection.

Cause: the whole service of a request, the sending of its answer too, stops at the deadline. Between head and body the server of callers passes through checkpoints. Endpoints stop at the same deadline and answer then, so that the two meet more often than by chance.

An answer that is there as a whole is now sent as a whole.

Evidence: the scenario of http_server.feature failed before (the head alone was sent) and passes now. Not seen on real processes.

--- a/dogwoodwheel/requests/callers.py
+++ b/dogwoodwheel/requests/callers.py
@@ -97,14 +97,20 @@
         )
 
     async def answer(self, answer):
-        """Send a complete reply."""
+        """Send a complete reply.
+
+        Notes
+        -----
+        A deadline that passes meanwhile does not cut the reply.
+        """
         headers = list(answer.headers)
         has_length = any(name == b"content-length" for name, _ in headers)
         if not has_length and answer.status not in STATUSES_WITHOUT_BODY:
             size = str(len(answer.body)).encode()
             headers.append((b"content-length", size))
-        await self.start(answer.status, headers)
-        await self.send(answer.body, more=False)
+        with trio.CancelScope(shield=True):
+            await self.start(answer.status, headers)
+            await self.send(answer.body, more=False)
 
     async def refuse(self, refusal, drain=None):
         """Send a refusal.
--- a/features/http_server.feature
+++ b/features/http_server.feature
@@ -4,3 +4,7 @@
     Given an HTTP server and a connection to it that is kept
     When another connection fails with an error that nothing handles
     Then the kept connection to the server is answered
+
+  Scenario: The deadline passes between the head and the body of an answer
+    When an answer is sent and its time ends with its head
+    Then the caller has the whole answer
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import threading
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -10,12 +11,17 @@
 import hypercorn.config
 import trio
 
+from dogwoodwheel.entry import events
+from dogwoodwheel.entry import serving
+from dogwoodwheel.platform import http_headers
 from dogwoodwheel.programs import http_server
 from dogwoodwheel.programs import runner
 from dogwoodwheel.requests import asgi
+from dogwoodwheel.requests import callers
 from features.standins import machines
 
 TIMEOUT_S = 5.0
+SEND_S = 0.02
 # Settings of HTTP/2 that are no base64; hypercorn does not handle the error.
 FAILING_HEADERS = {"Upgrade": "h2c", "HTTP2-Settings": "A"}
 
@@ -95,3 +101,85 @@
 def step_answered(context):
     context.kept.auto_open = 0
     assert get(context.kept) == (200, b"ok")
+
+
+class SentMessages:
+    """Collects the messages of an answer; each takes a while.
+
+    Parameters
+    ----------
+    on_start : callable
+        Called with the head.
+    """
+
+    def __init__(self, on_start=lambda: None):
+        self.on_start = on_start
+        self.messages = []
+
+    async def send(self, message):
+        """Take a message, as an ASGI server does."""
+        if message["type"] == "http.response.start":
+            self.on_start()
+        await trio.sleep(SEND_S)
+        self.messages.append(message)
+
+    @property
+    def body(self):
+        """All parts of the body so far."""
+        return b"".join(m.get("body", b"") for m in self.messages)
+
+
+@when("an answer is sent and its time ends with its head")
+def step_answer(context):
+    async def answer():
+        with trio.CancelScope() as scope:
+            context.sent = SentMessages(scope.cancel)
+            caller = callers.Caller("id", None, context.sent.send, bool)
+            await caller.answer(callers.Answer(200, (), b"whole"))
+
+    trio.run(answer)
+
+
+@then("the caller has the whole answer")
+def step_whole(context):
+    assert context.sent.body == b"whole", context.sent.messages
+    assert not context.sent.messages[-1]["more_body"]
+
+
+class StreamReply:
+    """A reply of an endpoint with two events at once, and then nothing."""
+
+    headers = ((b"content-type", b"text/event-stream"),)
+    status = 200
+    ends_with_connection = False
+
+    def header(self, name):
+        """Return an empty header."""
+        return b""
+
+    async def iter_chunks(self, before_wait):
+        """Yield the events."""
+        yield b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+        await before_wait()
+
+
+@when("the head of a stream is sent until the endpoint counts as silent")
+def step_slow_head(context):
+    context.sent = SentMessages()
+    handler = object.__new__(serving.RequestHandler)
+    handler.caller = callers.Caller("id", None, context.sent.send, bool)
+    handler.splitter = events.EventSplitter(http_headers.event_id, None)
+    handler.prompt_guard = mock.Mock()
+    handler.mark_prompt_processed = mock.Mock()
+
+    async def relay():
+        with trio.move_on_after(SEND_S / 2) as silence_scope:
+            await handler._relay_stream(StreamReply(), silence_scope)
+
+    trio.run(relay)
+
+
+@then('the caller has the events "{first}" and "{second}"')
+def step_events(context, first, second):
+    body = context.sent.body.decode()
+    assert first in body and second in body, context.sent.messages
