--- a/features/http_server.feature
+++ b/features/http_server.feature
@@ -8,3 +8,7 @@
   Scenario: The deadline passes between the head and the body of an answer
     When an answer is sent and its time ends with its head
     Then the caller has the whole answer
+
+  Scenario: A silence ends an attempt as the first events of a stream are sent
+    When the head of a stream is sent until the endpoint counts as silent
+    Then the caller has the events "id: 1" and "id: 2"
