Answer requests that outlast the stop of their entry

Callers saw: an entry that stops closed the connections of requests that were still running near the end of its grace, without an answer.

Cause: at the end of the drain the tasks of all connections were cancelled.

At SIGTERM all requests, and those that arrive later, get a deadline that is a little before that. A request that has not run by then is refused with 503 as at any deadline, one that may have run is answered 504, and a stream that has begun is cut.

Evidence: the scenario of kept_connections.feature failed before (no answer) and passes now (504, exit code 0).

--- a/dogwoodwheel/entry/app.py
+++ b/dogwoodwheel/entry/app.py
@@ -1,6 +1,7 @@
 """ASGI applications of an entry, for callers and for the platform."""
 
 import json
+import math
 
 from loguru import logger
 import trio
@@ -47,6 +48,20 @@
         self.is_leaving = is_leaving
         self.is_closing = is_closing
         self.running_requests = 0
+        self._stop_deadline = math.inf
+        self._deadline_scopes = set()
+
+    def end_requests_at(self, stop_deadline):
+        """Answer all requests by a time, whether they have run or not.
+
+        Parameters
+        ----------
+        stop_deadline : float
+            Time of trio's clock.
+        """
+        self._stop_deadline = stop_deadline
+        for scope in self._deadline_scopes:
+            scope.deadline = min(scope.deadline, stop_deadline)
 
     async def __call__(self, scope, receive, send):
         if scope["type"] == "http":
@@ -95,6 +110,10 @@
     async def _serve_until_disconnect(self, admitted_request, caller):
         """Serve a request; cancel it if the caller disconnects."""
         service_error = None
+        deadline_scope = trio.CancelScope(
+            deadline=min(admitted_request.deadline, self._stop_deadline)
+        )
+        self._deadline_scopes.add(deadline_scope)
         async with trio.open_nursery() as nursery:
 
             async def cancel_on_disconnect():
@@ -109,9 +128,13 @@
             try:
                 if self.is_closing():
                     await trio.sleep(CLOSING_CHECK_S)
-                await serving.serve(self.components, admitted_request, caller)
+                await serving.serve(
+                    self.components, admitted_request, caller, deadline_scope
+                )
             except exceptions.DogwoodwheelError as exc:
                 service_error = exc
+            finally:
+                self._deadline_scopes.discard(deadline_scope)
             nursery.cancel_scope.cancel()
         if service_error is not None:
             raise service_error
--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -35,9 +35,17 @@
 MAX_NOT_RUN = 4
 
 
-async def serve(components, admitted, caller):
+async def serve(components, admitted, caller, deadline_scope):
     """Send a request to endpoints until one answers the caller.
 
+    Parameters
+    ----------
+    components : dogwoodwheel.entry.components.Components
+    admitted : dogwoodwheel.entry.admission.AdmittedRequest
+    caller : dogwoodwheel.requests.callers.Caller
+    deadline_scope : trio.CancelScope
+        Ends the request at its deadline, or earlier if this entry stops.
+
     Raises
     ------
     RefusedError, HttpStatusError
@@ -47,9 +55,9 @@
     """
     handler = RequestHandler(components, admitted, caller)
     try:
-        with trio.move_on_at(admitted.deadline) as scope:
+        with deadline_scope:
             await handler.serve()
-        if scope.cancelled_caught:
+        if deadline_scope.cancelled_caught:
             raise handler.timeout_error()
     except exceptions.RefusedError as exc:
         if exc.refusal.run == messages.NOT_RUN and admitted.customer:
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -40,6 +40,8 @@
 # Time before the platform kills the process at which requests that still run
 # are cancelled.
 KILL_MARGIN_S = 0.8
+# Time before that at which callers are told that their requests take too long.
+ANSWER_MARGIN_S = 0.2
 # Time for which a draining entry accepts new connections, since callers use
 # directory replies for this time that still list the entry.
 ACCEPT_WHILE_DRAINING_S = 2.5
@@ -194,6 +196,7 @@
         self.member.leave()
         logger.info("stop: draining", running=self.caller_app.running_requests)
         deadline = started_at + self.cfg.grace_s - KILL_MARGIN_S
+        self.caller_app.end_requests_at(deadline - ANSWER_MARGIN_S)
         with trio.move_on_at(deadline):
             await self.lease.release()
             await self.components.heartbeats.send_heartbeat()
--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -50,3 +50,8 @@
       | table        | row    | task       |
       | dogwoodwheel | leader | lease      |
       | entries      | other  | membership |
+
+  Scenario: A request outlasts the time in which its entry must stop
+    Given plain workers answer after 6 s
+    When the entry "one" is stopped while the kept connection posts to "/orders/1"
+    Then that request gets 504
--- a/features/steps/kept_connection_steps.py
+++ b/features/steps/kept_connection_steps.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import socket
+import threading
 import time
 
 from behave import given
@@ -11,8 +12,11 @@
 
 from features import entry_builders
 from features import entry_fleet
+from features.standins import process
 
 TIMEOUT_S = 5.0
+STOP_S = 10.0
+PLAIN_WORKERS = ("p1", "p2")
 HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 EMPTY_SETTINGS_FRAME = bytes.fromhex("000000040000000000")
 
@@ -25,7 +29,7 @@
 
 @given("plain workers answer after {seconds:d} s")
 def step_delay(context, seconds):
-    for name in ("p1", "p2"):
+    for name in PLAIN_WORKERS:
         context.fleet.workers[name].call("set", delay_s=seconds)
 
 
@@ -57,6 +61,47 @@
     context.fleet.store.call("delete", table=table, key=key)
 
 
+@when(
+    'the entry "{name}" is stopped while the kept connection posts to "{path}"'
+)
+def step_stop_while(context, name, path):
+    replies = []
+
+    def ask():
+        reply = exchange(
+            context.kept, path, "POST", b"order", X_Request_Deadline=9000
+        )
+        replies.append(reply)
+
+    asking = threading.Thread(target=ask, daemon=True)
+    asking.start()
+    process.wait_for(
+        lambda: any(context.fleet.history(worker) for worker in PLAIN_WORKERS),
+        what="the request at a worker",
+    )
+    proc = context.fleet.proc(name)
+    proc.terminate()
+    asking.join(STOP_S)
+    context.codes = [proc.wait(STOP_S)]
+    context.replies = replies
+
+
+@then("that request gets {status:d}")
+def step_that_gets(context, status):
+    assert [r.status for r in context.replies] == [status], context.replies
+    assert context.codes == [0], context.codes
+
+
+@then('the entry "{name}" logs a cut answer with its engine and "{cause}"')
+def step_logged_cut(context, name, cause):
+    lines = context.fleet.log(name, "connection closed without an answer")
+    assert [line["cause"] for line in lines] == [cause], lines
+    assert lines[0]["endpoints"] in ("e1", "e2"), lines
+    counter = f'dogwoodwheel_unanswered_total{{cause="{cause}"}} 1'
+    text = context.fleet.metrics(name)
+    assert counter in text, text
+
+
 @then('the entry "{name}" has counted an error of the task "{task}"')
 def step_task_error(context, name, task):
     counter = f'dogwoodwheel_task_errors_total{{task="{task}"}}'
