Log and count requests that end without an answer, by cause

The hypotheses of the incident of kept connections could not be told apart: a line `reply cut off` had a request's id and an error, a request that was cancelled left no line at all, and nothing counted them.

Each request whose connection ends without a complete answer now has one line with its id, the endpoints that it was sent to, whether an answer had begun and one of four causes, and is counted in `unanswered_total` by that cause. A connection that the server of callers closes as idle while a request begins has a line of its own.

--- a/dogwoodwheel/entry/app.py
+++ b/dogwoodwheel/entry/app.py
@@ -17,6 +17,12 @@
 
 __all__ = ["CallerApp", "StatusApp"]
 
+# Causes for which a request gets no complete answer.
+BROKEN_OFF = "broken_off"
+CALLER_DISCONNECTED = "caller_disconnected"
+CANCELLED = "cancelled"
+INTERNAL_ERROR = "internal_error"
+
 JSON_CONTENT_TYPE = "application/json"
 # Time after which it shows whether the HTTP server closed an idle connection
 # at the moment at which a request arrived on it.
@@ -78,15 +84,19 @@
             "latin-1"
         )
         caller = callers.Caller(request_id, receive, send, self.is_leaving)
+        # Remains if the server of callers cancels the request.
+        cause, why = CANCELLED, ""
         try:
             body = await _read_body(self.components, headers_by_name, receive)
             if body is None:
+                cause = CALLER_DISCONNECTED
                 return
             incoming_request = _incoming_request(scope, body, received_at)
             admitted_request = admission.admit(
                 self.components, incoming_request
             )
             await self._serve_until_disconnect(admitted_request, caller)
+            cause = CALLER_DISCONNECTED
         except exceptions.RefusedError as exc:
             await self._refuse(exc.refusal, caller, request_id, received_at)
         except exceptions.HttpStatusError as exc:
@@ -94,8 +104,9 @@
         except exceptions.ReplyError as exc:
             # The reply is incomplete, so the HTTP server closes the
             # connection.
-            logger.info("reply cut off", id=request_id, why=str(exc))
-        except Exception:
+            cause, why = BROKEN_OFF, str(exc)
+        except Exception as exc:
+            cause, why = INTERNAL_ERROR, repr(exc)
             logger.exception("internal error", id=request_id)
             internal_error = refusals.refused(
                 "internal_error",
@@ -106,6 +117,22 @@
             await self._refuse(
                 internal_error.refusal, caller, request_id, received_at
             )
+        finally:
+            if not caller.reply_finished:
+                self._record_unanswered(caller, cause, why, received_at)
+
+    def _record_unanswered(self, caller, cause, why, received_at):
+        """Log and count a request that ends without a complete answer."""
+        self.components.metrics.count_unanswered(cause)
+        logger.info(
+            "connection closed without an answer",
+            id=caller.request_id,
+            cause=cause,
+            endpoints=",".join(caller.endpoints),
+            reply_started=caller.reply_started,
+            held_ms=round((trio.current_time() - received_at) * 1000),
+            why=why,
+        )
 
     async def _serve_until_disconnect(self, admitted_request, caller):
         """Serve a request; cancel it if the caller disconnects."""
--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -232,6 +232,7 @@
             body=admitted.incoming.body,
         )
         self.excluded_endpoints.add(endpoint.id)
+        self.caller.endpoints.append(endpoint.id)
         tokens = admitted.request_headers.prompt_tokens
         began = trio.current_time()
         outcome = "?"
--- a/dogwoodwheel/programs/http_server.py
+++ b/dogwoodwheel/programs/http_server.py
@@ -114,6 +114,16 @@
         finally:
             await self._close()
 
+    async def _initiate_server_close(self):
+        stream = self.protocol.stream
+        if stream is not None:
+            headers = dict(stream.scope["headers"])
+            logger.warning(
+                "connection closed as idle",
+                id=headers.get(b"x-request-id", b"").decode("latin-1"),
+            )
+        await super()._initiate_server_close()
+
     async def _serve_requests(self, sock):
         client = hypercorn_utils.parse_socket_addr(
             sock.family, sock.getpeername()
--- a/dogwoodwheel/programs/metrics.py
+++ b/dogwoodwheel/programs/metrics.py
@@ -56,6 +56,7 @@
     "decisions_total": "Decisions on replicas that were recorded.",
     "conflicts_total": "Commits refused for another's earlier write.",
     "orders_total": "Orders to endpoints, by kind.",
+    "unanswered_total": "Requests without a complete answer, by cause.",
     "task_errors_total": "Errors of background tasks, by task.",
     "crash_suspects_total": "Requests in flight as an engine crashed.",
     "limits_total": "Endpoints that began to name a limit.",
@@ -150,6 +151,10 @@
         """Count an order to an endpoint, such as ``load``."""
         self._metrics["orders_total"].inc({"kind": kind})
 
+    def count_unanswered(self, cause):
+        """Count a request whose connection ended without a whole answer."""
+        self._metrics["unanswered_total"].inc({"cause": cause})
+
     def count_task_error(self, task):
         """Count an error that ended a background task."""
         self._metrics["task_errors_total"].inc({"task": task})
--- a/dogwoodwheel/requests/callers.py
+++ b/dogwoodwheel/requests/callers.py
@@ -48,6 +48,8 @@
         Whether the reply was sent completely.
     is_event_stream : bool
         Whether the reply is a stream of server-sent events.
+    endpoints : list of str
+        Endpoints that the request was sent to, for the log.
     """
 
     def __init__(self, request_id, receive, send, must_close):
@@ -55,6 +57,7 @@
         self.reply_started = False
         self.reply_finished = False
         self.is_event_stream = False
+        self.endpoints = []
         self.receive = receive
         self._send = send
         self._must_close = must_close
--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -55,3 +55,9 @@
     Given plain workers answer after 6 s
     When the entry "one" is stopped while the kept connection posts to "/orders/1"
     Then that request gets 504
+
+  Scenario: A stream is cut, and the log and the metrics tell why
+    Given the next request at each engine meets "break"
+    When a caller asks at "/draft/a" for a stream of "m0"
+    Then its answer is cut after event 3
+    And the entry "one" logs a cut answer with its engine and "broken_off"
