--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -454,8 +454,6 @@
                 data = bytes(pending_events)
                 pending_events.clear()
                 self.mark_prompt_processed()
-                # The splitter has counted these events as sent.
-                silence_scope.deadline = float("inf")
                 if not caller.reply_started:
                     await self._start_answer(reply)
                 await caller.send(data)
