Begin the caller's answer only in an attempt that is not cancelled

What callers may see: an answer that begins twice on one connection. Found by reading, not reproduced: the limit on an endpoint's silence may expire while the task that has just received the whole body is about to answer; the cancellation is then delivered within the answer, and the next attempt answers again. "_end_silence_limit" checks for it first, for bodies, for the first events and for empty streams alike.

--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -373,7 +373,7 @@
             await self._relay_stream(reply, silence_scope)
         else:
             body = await reply.read()
-            silence_scope.deadline = float("inf")
+            await _end_silence_limit(silence_scope)
             await self.caller.answer(
                 callers.Answer(
                     reply.status, http_headers.for_caller(reply.headers), body
@@ -446,10 +446,9 @@
 
         async def send_pending_events():
             if pending_events:
+                await _end_silence_limit(silence_scope)
                 # From here on, nothing but the end of the whole request
                 # keeps these events from the caller.
-                await trio.lowlevel.checkpoint_if_cancelled()
-                silence_scope.deadline = float("inf")
                 splitter.mark_sent()
                 data = bytes(pending_events)
                 pending_events.clear()
@@ -475,6 +474,7 @@
                 "a stream ended before its first event"
             )
         await send_pending_events()
+        await _end_silence_limit(silence_scope)
         if not caller.reply_started:
             await self._start_answer(reply)
         await caller.send(b"", more=False)
@@ -485,3 +485,13 @@
         await self.caller.start(
             reply.status, http_headers.for_caller(reply.headers)
         )
+
+
+async def _end_silence_limit(silence_scope):
+    """Let the attempt go on, unless it has been cancelled already.
+
+    The caller's answer must not be cancelled once it has begun: the next
+    attempt would begin it again.
+    """
+    await trio.lowlevel.checkpoint_if_cancelled()
+    silence_scope.deadline = float("inf")
