Check rows and datagrams of peers before they are used

What callers saw: an entry ends when one row of the table of entries is no msgpack map with an address, at each start (reproduced: ValueError, "Unpack failed", with two entries), or when a datagram has a protocol version that is no number (TypeError). Other odd datagrams were taken for a peer's heartbeat, and their values ended later tasks or poisoned sums: addresses that are no address, loads that are no numbers, ages of NaN, and a scan of a later time, after which no scan is applied. A datagram of 50 kB could expand to 50 MB.

A row of a peer is decoded by itself, and one line tells of malformed ones. The frame's parts are checked by type, a datagram expands to 2 MiB at most, and `heartbeat_fields.check` checks the fields of heartbeats and scans before anything of them is kept. Messages of other classes are refused.

The builders of settings and heartbeats use loopback addresses now, since host names are refused; no check changes.

--- a/dogwoodwheel/entry/datagrams.py
+++ b/dogwoodwheel/entry/datagrams.py
@@ -11,6 +11,8 @@
 # Level of zlib.  Heartbeats are compressed, because traffic between
 # availability zones costs more than the CPU time of the compression.
 COMPRESSION_LEVEL = 6
+# Maximum size of a message.  A datagram of 64 KiB could expand to 64 MiB.
+MAX_DECOMPRESSED_BYTES = 2 * 1024 * 1024
 # Preset dictionary of zlib: bytes that most heartbeats contain.  The
 # dictionary makes small heartbeats shorter.  Releases with different
 # dictionaries cannot read each other's heartbeats.
@@ -57,10 +59,16 @@
     """
     try:
         decompressor = zlib.decompressobj(zdict=COMPRESSION_DICTIONARY)
-        frame = decompressor.decompress(datagram) + decompressor.flush()
+        frame = decompressor.decompress(datagram, MAX_DECOMPRESSED_BYTES)
     except zlib.error as exc:
-        raise exceptions.WireError(
-            "a datagram is malformed; is the sender a dogwoodwheel entry?"
-        ) from exc
+        raise _malformed() from exc
+    if not decompressor.eof:
+        raise _malformed()
     msg, _ = codec.decode(frame[LENGTH_PREFIX_BYTES:])
     return msg
+
+
+def _malformed():
+    return exceptions.WireError(
+        "a datagram is malformed; is the sender a dogwoodwheel entry?"
+    )
--- a/dogwoodwheel/entry/heartbeats.py
+++ b/dogwoodwheel/entry/heartbeats.py
@@ -18,6 +18,7 @@
 import trio
 
 from dogwoodwheel.entry import datagrams
+from dogwoodwheel.entry import heartbeat_fields
 from dogwoodwheel import exceptions
 from dogwoodwheel.wire import messages
 
@@ -53,6 +54,8 @@
 # arrive meanwhile are read together, which wakes the process less often.
 LARGE_FLEET_RECEIVE_PAUSE_S = 0.05
 MIN_RECEIVE_WAIT_S = 0.001
+# Maximum length of what a log line shows of a message that is odd.
+MAX_SHOWN_LETTERS = 200
 # Maximum age of `HeartbeatExchange.live_peer_count`.
 LIVE_COUNT_MAX_AGE_S = 0.1
 
@@ -318,18 +321,26 @@
             logger.warning("heartbeats: malformed datagram", why=str(exc))
             return
         try:
+            heartbeat_fields.check(msg)
             if isinstance(msg, messages.EndpointRows):
                 self.on_scan(msg)
             else:
                 self.process_heartbeat(msg, trio.current_time())
-        except (AttributeError, LookupError, TypeError, ValueError) as exc:
+        except (
+            ArithmeticError,
+            AttributeError,
+            LookupError,
+            TypeError,
+            ValueError,
+            exceptions.WireError,
+        ) as exc:
             # Peers of another release may send fields of another shape while
             # a fleet is upgraded; this entry must go on serving.
             logger.warning(
                 "heartbeats: fields not understood",
                 kind=type(msg).__name__,
-                peer=getattr(msg, "name", ""),
-                why=repr(exc),
+                peer=str(getattr(msg, "name", ""))[:MAX_SHOWN_LETTERS],
+                why=repr(exc)[:MAX_SHOWN_LETTERS],
             )
 
     def process_heartbeat(self, heartbeat, now):
--- a/dogwoodwheel/entry/membership.py
+++ b/dogwoodwheel/entry/membership.py
@@ -6,6 +6,7 @@
 
 from dogwoodwheel.entry import datatypes
 from dogwoodwheel import exceptions
+from dogwoodwheel.platform import decoding
 from dogwoodwheel.platform import store as store_module
 from dogwoodwheel.wire import messages
 
@@ -64,6 +65,8 @@
         self.leader_role = None
         self._leaving = False
         self._heartbeat_id = 0
+        # Key and version of each malformed row of the last scan.
+        self._malformed_rows = set()
 
     @property
     def state(self):
@@ -331,5 +334,34 @@
 
     async def _scan_peers(self):
         snapshot = await self.store.scan(TABLE)
-        addresses = [msgpack.unpackb(r.value)["peers"] for r in snapshot.rows]
+        addresses = []
+        malformed_rows = set()
+        for row in snapshot.rows:
+            try:
+                addresses.append(_peer_address(row))
+            except exceptions.DeclarationError:
+                malformed_rows.add((row.key, row.version))
+        if malformed_rows - self._malformed_rows:
+            logger.warning(
+                "membership: malformed rows",
+                count=len(malformed_rows),
+                key=min(malformed_rows - self._malformed_rows)[0],
+            )
+        self._malformed_rows = malformed_rows
         self.components.heartbeats.add_contacts(addresses)
+
+
+def _peer_address(row):
+    """Return the address, ``IP:PORT``, that the row of a peer contains.
+
+    Raises
+    ------
+    DeclarationError
+        If the row is malformed.
+    """
+    what = f"row {row.key} of table {TABLE}"
+    try:
+        body = msgpack.unpackb(row.value)
+    except (ValueError, TypeError, msgpack.UnpackException) as exc:
+        raise decoding.error(what, exc) from exc
+    return decoding.JsonObject.from_value(body, what).address("peers")
--- a/dogwoodwheel/platform/decoding.py
+++ b/dogwoodwheel/platform/decoding.py
@@ -9,6 +9,7 @@
 """
 
 import dataclasses
+import functools
 import ipaddress
 import json
 import math
@@ -37,6 +38,7 @@
 MAX_INTEGER = 2**53
 MAX_NUMBER = 1e15
 MAX_PORT = 65535
+MAX_ADDRESS_LENGTH = len("255.255.255.255:65535")
 # Marks a field that has no default value.
 REQUIRED = object()
 
@@ -76,6 +78,8 @@
     >>> parse_json(b'{"slots": 8}', "the registration")
     {'slots': 8}
     """
+    if not isinstance(data, bytes):
+        raise error(what, "no value")
     if len(data) > max_bytes:
         raise error(what, f"{len(data)} bytes, but at most {max_bytes}")
     try:
@@ -98,8 +102,15 @@
     >>> is_address("10.1.0.25:8221"), is_address("10.1.0.25:70000")
     (True, False)
     """
-    if not isinstance(text, str):
-        return False
+    return (
+        isinstance(text, str)
+        and len(text) <= MAX_ADDRESS_LENGTH
+        and _is_short_address(text)
+    )
+
+
+@functools.lru_cache(maxsize=4096)
+def _is_short_address(text):
     host, _, port = text.rpartition(":")
     try:
         ipaddress.IPv4Address(host)
--- a/dogwoodwheel/wire/codec.py
+++ b/dogwoodwheel/wire/codec.py
@@ -10,6 +10,7 @@
 """
 
 import dataclasses
+import reprlib
 import struct
 
 import msgpack
@@ -120,7 +121,14 @@
     """
     try:
         body_map = msgpack.unpackb(body, use_list=False)
-        protocol_version = body_map["v"]
+        protocol_version, class_name = body_map["v"], body_map["k"]
+        raw_fields, reply = body_map["f"], body_map["r"]
+        if not (
+            isinstance(protocol_version, int)
+            and isinstance(class_name, str)
+            and isinstance(raw_fields, dict)
+        ):
+            raise TypeError("a part of the frame has another type")
     except (ValueError, TypeError, KeyError, msgpack.UnpackException) as exc:
         raise exceptions.WireError(
             "a frame is malformed; "
@@ -132,12 +140,12 @@
             f"program supports up to {PROTOCOL_VERSION}; upgrade this program"
         )
     try:
-        message_class = MESSAGE_CLASSES[body_map["k"]]
-        field_names = FIELD_NAMES[body_map["k"]]
-        fields = {k: v for k, v in body_map["f"].items() if k in field_names}
-        return message_class(**fields), bool(body_map["r"])
-    except (KeyError, TypeError, AttributeError) as exc:
+        message_class = MESSAGE_CLASSES[class_name]
+        field_names = FIELD_NAMES[class_name]
+        fields = {k: v for k, v in raw_fields.items() if k in field_names}
+        return message_class(**fields), bool(reply)
+    except (KeyError, TypeError) as exc:
         raise exceptions.WireError(
-            f"a message cannot be decoded ({exc!r}); upgrade the older "
-            f"of the two programs"
+            f"a message of class {reprlib.repr(class_name)} cannot be decoded "
+            f"({type(exc).__name__}); upgrade the older of the two programs"
         ) from exc
--- a/features/entry_builders.py
+++ b/features/entry_builders.py
@@ -1,6 +1,7 @@
 """Builders of the data that an entry decides by."""
 
 import json
+import zlib
 
 from dogwoodwheel.entry import datatypes
 from dogwoodwheel.entry import fleet_state
@@ -63,16 +64,16 @@
 
 def settings(name="entry-1", **fields):
     """Return the settings of an entry."""
-    number = name.rpartition("-")[2]
+    host = _host(f"settings of {name}")
     base = {
         "name": name,
         "zone": "zone-a",
         "region": "region",
-        "front": f"front.{number}:2",
-        "readiness": f"front.{number}:3",
-        "directory": f"front.{number}:4",
-        "peers": f"front.{number}:1",
-        "metrics": f"front.{number}:5",
+        "front": f"{host}:2",
+        "readiness": f"{host}:3",
+        "directory": f"{host}:4",
+        "peers": f"{host}:1",
+        "metrics": f"{host}:5",
         "store": "store:1",
     }
     return datatypes.Settings(**{**base, **fields})
@@ -85,8 +86,8 @@
         "name": name,
         "incarnation": f"{name}-one",
         "zone": "zone-a",
-        "peers": f"{name}:1",
-        "front": f"{name}:2",
+        "peers": f"{_host(name)}:1",
+        "front": f"{_host(name)}:2",
         "state": "serving",
     }
     return messages.EntryBeat(**{**base, **fields})
@@ -207,3 +208,9 @@
         "sequence": 4,
     }
     return json.dumps({**base, **fields}).encode()
+
+
+def _host(name):
+    """Return an address of the loopback network for a name."""
+    number = zlib.crc32(name.encode())
+    return f"127.{number % 250 + 1}.{number // 250 % 250}.9"
--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -51,3 +51,13 @@
     Then each odd configuration is refused as malformed
     And 300 random configurations are decoded or refused as malformed
     And a sound configuration is decoded
+
+  Scenario: Odd datagrams
+    Then each odd datagram is refused as malformed or its fields are
+    And a bomb of 50 MB is refused within 8 MB of memory
+    And 300 random datagrams are processed
+
+  Scenario: Odd rows of peers
+    When odd rows stand among those of two peers
+    Then both peers are contacted, and no other address
+    And one line tells of the odd rows, and one more after a change
--- a/features/odd_rows_entries.feature
+++ b/features/odd_rows_entries.feature
@@ -33,3 +33,17 @@
     And "one" is the same process
     When the operator removes the route of "/stock/"
     Then within 3 s "/stock/7" is answered 404
+
+  Scenario: Odd rows stand among those of the peers
+    When odd rows stand among those of the peers
+    Given the entries "one" and "two"
+    Then "/stock/7" is answered 200
+    And "one" is the same process
+    And "two" is the same process
+
+  Scenario: Odd datagrams arrive
+    Given the entries "one" and "two"
+    When odd datagrams arrive at "one"
+    Then "/stock/7" is answered 200
+    And "one" is the same process
+    And the directory of "one" still names 2 entries
--- a/features/odd_values.py
+++ b/features/odd_values.py
@@ -1,19 +1,26 @@
 """Builders of values as a faulty writer leaves them."""
 
+import functools
 import json
 import math
+import zlib
+
+import msgpack
 
 from hypothesis import strategies
 
+from dogwoodwheel.entry import datagrams as datagrams_module
 from features import entry_builders
 
 __all__ = [
     "BYTES",
     "CONFIG_FIELDS",
     "FIELDS",
+    "HEARTBEAT_FIELDS",
     "MODELS",
     "REPORT_FIELDS",
     "config_with",
+    "datagrams",
     "json_texts",
     "mutated_texts",
     "nested",
@@ -22,6 +29,11 @@
     "report_with",
 ]
 
+
+def _nest(depth):
+    return functools.reduce(lambda value, _: (value,), range(depth), 1)
+
+
 # Field of a registration and its JSON text, by what is odd about it.
 FIELDS = {
     "too many slots": ("slots", "1" + "0" * 30),
@@ -139,6 +151,40 @@
     "size limit as a text": (("limits", "maxBodyBytes"), "1"),
     "negative time limit": (("limits", "idleTimeoutMs"), -1),
 }
+# Field of a heartbeat and its value, by what is odd about it.
+HEARTBEAT_FIELDS = {
+    "peers without a port": ("peers", "127.0.0.1"),
+    "peers of a name": ("peers", "a" * 70 + ".example:1"),
+    "peers as a number": ("peers", 7),
+    "port of peers out of range": ("peers", "127.0.0.1:70000"),
+    "front as a list": ("front", ()),
+    "name as a map": ("name", {}),
+    "state as a number": ("state", 1),
+    "version as a text": ("config_version", "7"),
+    "age that is no number": ("store_age_s", math.nan),
+    "infinite age": ("scan_age_s", math.inf),
+    "row as nothing": ("operator_row", None),
+    "link as a text": ("link_mbps", "fast"),
+    "known as a text": ("known", "127.0.0.1:1"),
+    "known as numbers": ("known", (1, 2)),
+    "known of odd ports": ("known", ("127.0.0.1:99999", "x:\u00b2")),
+    "load as a list": ("load", ()),
+    "load as numbers": ("load", {"e1": 1}),
+    "load of a text": ("load", {"e1": (1, "2", {})}),
+    "outcomes that are no numbers": ("outcomes", {"p1": (math.nan, 1.0)}),
+    "spent as a list": ("spent", (1,)),
+    "infinitely spent": ("spent", {"husk": math.inf}),
+    "asked as a text": ("asked", "m0"),
+    "asked by a text": ("asked", {"m0": "many"}),
+    "waiting as a number": ("waiting", 7),
+    "lease as a number": ("lease", 7),
+    "lease of texts": ("lease", ("1", "2")),
+    "holdings as a list": ("holdings", ()),
+    "holdings of no age": ("holdings", {"e1": (math.nan, {}, "")}),
+    "limits as a list": ("limits", (1,)),
+    "sections as a text": ("sound_sections", "ab"),
+    "nested id": ("id", _nest(400)),
+}
 # Value of a row, by what is odd about it.
 BYTES = {
     "empty": b"",
@@ -174,6 +220,55 @@
     return json.dumps(body).encode()
 
 
+def datagrams():
+    """Return odd datagrams by what is odd about them."""
+    frames = {
+        "no map": 7,
+        "an empty map": {},
+        "version as a text": {"v": "1", "k": "EntryBeat", "r": 0, "f": {}},
+        "no version": {"v": None, "k": "EntryBeat", "r": 0, "f": {}},
+        "a nested class": {"v": 1, "k": _nest(400), "r": 0, "f": {}},
+        "fields as a list": {"v": 1, "k": "EntryBeat", "r": 0, "f": [1]},
+        "no fields": {"v": 1, "k": "EntryBeat", "r": 0, "f": {}},
+        "a message of another program": {
+            "v": 1,
+            "k": "Ok",
+            "r": 0,
+            "f": {"id": 1},
+        },
+        "rows as numbers": _scan(rows=[1]),
+        "rows as a text": _scan(rows="abc"),
+        "a row of numbers": _scan(rows=[[1, 2, 3]]),
+        "a row without a value": _scan(rows=[["i-1", 2, None]]),
+        "rows of no age": _scan(age_s=math.nan),
+        "rows of a later time": _scan(age_s=-math.inf),
+    }
+    found = {name: pack(body) for name, body in frames.items()}
+    found["no message"] = b"not a datagram"
+    found["an empty one"] = b""
+    found["nested lists"] = _compress(b"\0\0\0\0" + b"\x91" * 20_000)
+    found["a bomb"] = _compress(b"\0" * 50_000_000)
+    found["cut off"] = pack(frames["no fields"])[:-3]
+    return found
+
+
+def pack(body):
+    """Return the datagram of a frame's body."""
+    return _compress(b"\0\0\0\0" + msgpack.packb(body))
+
+
+def _scan(**fields):
+    base = {"id": 0, "name": "x", "age_s": 0.0, "version": 1, "rows": []}
+    return {"v": 1, "k": "EndpointRows", "r": False, "f": {**base, **fields}}
+
+
+def _compress(data):
+    compressor = zlib.compressobj(
+        9, zdict=datagrams_module.COMPRESSION_DICTIONARY
+    )
+    return compressor.compress(data) + compressor.flush()
+
+
 def report_body():
     """Return the report of an engine."""
     body = {
--- a/features/steps/odd_rows_entries_steps.py
+++ b/features/steps/odd_rows_entries_steps.py
@@ -1,11 +1,14 @@
 """Steps about entries that meet rows of another writer."""
 
+import dataclasses
 import json
+import socket
 import time
 
 from behave import then
 from behave import when
 
+from dogwoodwheel.entry import datagrams
 from features import entry_builders
 from features import odd_values
 from features.standins import process
@@ -157,3 +160,33 @@
     process.wait_for(
         lambda: context.fleet.ask("one", path).status == status, s
     )
+
+
+@when("odd rows stand among those of the peers")
+def step_odd_peers(context):
+    for number, value in enumerate(odd_values.BYTES.values()):
+        if value.isascii():
+            put(context, "entries", f"odd-{number}", value.decode())
+
+
+@when('odd datagrams arrive at "{name}"')
+def step_odd_datagrams(context, name):
+    fields = context.fleet.entries[name][1]
+    port = int(fields["portRange"].partition(",")[0])
+    sent = list(odd_values.datagrams().values())
+    for field, value in odd_values.HEARTBEAT_FIELDS.values():
+        heartbeat = dataclasses.replace(
+            entry_builders.heartbeat("odd"), **{field: value}
+        )
+        sent.append(datagrams.encode(heartbeat))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        for datagram in sent:
+            sock.sendto(datagram, (fields["ip"], port))
+            # A full buffer of the socket would drop the next.
+            time.sleep(0.02)
+    time.sleep(1.0)
+
+
+@then('the directory of "{name}" still names {count:d} entries')
+def step_directory(context, name, count):
+    assert len(context.fleet.directory(name)) == count
--- a/features/steps/odd_rows_steps.py
+++ b/features/steps/odd_rows_steps.py
@@ -1,16 +1,23 @@
 """Steps about rows of another writer."""
 
 import codecs
+import dataclasses
 import json
 import math
+import tracemalloc
+import types
 
 from behave import then
 from behave import when
 import hypothesis
 from loguru import logger
+import msgpack
 import trio.testing
 
+from dogwoodwheel.entry import datagrams
 from dogwoodwheel.entry import datatypes
+from dogwoodwheel.entry import heartbeats as heartbeats_module
+from dogwoodwheel.entry import membership
 from dogwoodwheel.entry import registration_reader
 from dogwoodwheel import exceptions
 from dogwoodwheel.platform import engine_client
@@ -372,3 +379,161 @@
     assert config.keys["key-husk"] == "husk"
     assert config.customers["frost"].rate_in_tokens
     assert config.limits.idle_timeout_s == 15.0
+
+
+def exchange():
+    """Return an exchange of heartbeats that has met no peer."""
+    heartbeats = heartbeats_module.HeartbeatExchange("127.0.0.1:1")
+    heartbeats.on_scan = lambda msg: [len(key) for key, _, _ in msg.rows]
+    heartbeats.on_heartbeat = lambda previous, heartbeat: None
+    return heartbeats
+
+
+def odd_datagrams():
+    """Return odd datagrams by what is odd about them."""
+    found = odd_values.datagrams()
+    for name, (field, value) in odd_values.HEARTBEAT_FIELDS.items():
+        found[name] = datagrams.encode(
+            dataclasses.replace(
+                entry_builders.heartbeat("odd"), **{field: value}
+            )
+        )
+    return found
+
+
+def process(datagram):
+    """Return the exchange that has received a datagram, and its lines."""
+    heartbeats = exchange()
+    lines = []
+    sink = logger.add(lambda m: lines.append(m.record), level="WARNING")
+
+    async def scenario():
+        heartbeats._process_datagram(datagram)
+
+    try:
+        play(scenario)
+    finally:
+        logger.remove(sink)
+    return heartbeats, lines
+
+
+@then("each odd datagram is refused as malformed or its fields are")
+def step_odd_datagrams(context):
+    faults = {}
+    for name, datagram in odd_datagrams().items():
+        try:
+            heartbeats, lines = process(datagram)
+        except Exception as exc:
+            faults[name] = f"failed with {type(exc).__name__}"
+            continue
+        if heartbeats.peers or heartbeats.contact_addresses:
+            faults[name] = "accepted"
+        elif len(lines) != 1 or len(str(lines[0]["extra"])) > 1000:
+            faults[name] = f"logged {lines}"
+    assert not faults, faults
+    heartbeats, _ = process(datagrams.encode(entry_builders.heartbeat()))
+    assert list(heartbeats.peers) == ["entry-1"], heartbeats.peers
+
+
+@then("a bomb of 50 MB is refused within {limit:d} MB of memory")
+def step_bomb(context, limit):
+    bomb = odd_values.datagrams()["a bomb"]
+    tracemalloc.start()
+    try:
+        process(bomb)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < limit * 1e6, peak
+
+
+@then("{count:d} random datagrams are processed")
+def step_random_datagrams(context, count):
+    sound = entry_builders.heartbeat(
+        load={"e1": (1, 2, {"m0": 1})},
+        lease=(1, 2),
+        known=("127.0.0.9:1",),
+        holdings={"e1": (0.1, {"m0": ("a1",)}, "")},
+        limits={"p1": (1.0, None, 3)},
+    )
+    fields = {
+        "v": 1,
+        "k": "EntryBeat",
+        "r": False,
+        "f": dataclasses.asdict(sound),
+    }
+    text = json.dumps(fields).encode()
+
+    def check(value):
+        body = json.loads(value)
+        try:
+            datagram = odd_values.pack(body)
+        except (OverflowError, UnicodeEncodeError, ValueError):
+            return
+        process(datagram)
+
+    check_random(odd_values.json_texts(), count, check)
+    check_random(odd_values.mutated_texts([text]), count, check)
+
+
+@when("odd rows stand among those of two peers")
+def step_peer_rows(context):
+    def packed(body):
+        return msgpack.packb(body)
+
+    values = [
+        packed({"peers": "127.0.0.2:1", "zone": "zone-a"}),
+        b"\xc1",
+        b"\x91" * 20_000,
+        b"",
+        None,
+        packed(7),
+        packed({}),
+        packed({"peers": 7}),
+        packed({"peers": "127.0.0.4:70000"}),
+        packed({"peers": "no such host:1"}),
+        packed({"peers": "a" * 70 + ".example:1"}),
+        packed({"peers": "127.0.0.5:\u00b2"}),
+        packed({"peers": "127.0.0.3:1", "zone": "zone-a"}),
+    ]
+    rows = [row(f"peer-{n}", value) for n, value in enumerate(values)]
+    heartbeats = exchange()
+    lines = []
+
+    async def scenario():
+        member = membership.Member(
+            types.SimpleNamespace(heartbeats=heartbeats), Rows(rows), "one"
+        )
+        for _ in range(3):
+            await member._scan_peers()
+        rows.append(row("peer-x", b"\xc1", 2))
+        await member._scan_peers()
+
+    sink = logger.add(lambda m: lines.append(m.record), level="WARNING")
+    try:
+        play(scenario)
+    finally:
+        logger.remove(sink)
+    context.heartbeats, context.lines = heartbeats, lines
+
+
+class Rows:
+    """A store with the same rows in each scan."""
+
+    def __init__(self, rows):
+        self.rows = rows
+
+    async def scan(self, table):
+        return store_module.Rows(tuple(self.rows), 1)
+
+
+@then("both peers are contacted, and no other address")
+def step_contacted(context):
+    found = context.heartbeats.contact_addresses
+    assert found == {"127.0.0.2:1", "127.0.0.3:1"}, found
+
+
+@then("one line tells of the odd rows, and one more after a change")
+def step_peer_lines(context):
+    counts = [line["extra"]["count"] for line in context.lines]
+    assert counts == [11, 12], context.lines
