Send nothing more to endpoints that say in an answer that they leave

Callers' requests went on to an endpoint that had announced its leaving in the header Server-Leaving for as long as its registration said ready: no code read the header.

Cause: leaving was known from registrations alone, which are read with delay, may be missing or restored, and may never tell. The notice is now state of its own, for one incarnation (id and start), read from the head of every reply that an entry gets: to requests, report calls and orders. It is final for that incarnation, outlives a missing or restored registration, and excludes the endpoint where selection, waiting requests, load estimates, the leader's plan, reports and repeated orders look for endpoints. What runs there ends in peace, and a broken answer of such an endpoint is no sign of a crash. Values other than 0 and 1 are logged and have no effect.

The order sender's test gets a FleetState in place of a stub with one method; its checks are unchanged.

--- a/dogwoodwheel/engines/http.py
+++ b/dogwoodwheel/engines/http.py
@@ -211,7 +211,14 @@
                 with trio.CancelScope(shield=True):
                     await conn.aclose()
 
-    async def call(self, address, req, timeout_s, max_bytes=MAX_BODY_BYTES):
+    async def call(
+        self,
+        address,
+        req,
+        timeout_s,
+        max_bytes=MAX_BODY_BYTES,
+        on_reply=lambda reply: None,
+    ):
         """Send a request and return the status and body of its reply.
 
         As `call_with_headers`, but without the headers.
@@ -222,12 +229,17 @@
         body : bytes
         """
         reply, body = await self.call_with_headers(
-            address, req, timeout_s, max_bytes
+            address, req, timeout_s, max_bytes, on_reply
         )
         return reply.status, body
 
     async def call_with_headers(
-        self, address, req, timeout_s, max_bytes=MAX_BODY_BYTES
+        self,
+        address,
+        req,
+        timeout_s,
+        max_bytes=MAX_BODY_BYTES,
+        on_reply=lambda reply: None,
     ):
         """Send a request and return its reply and the body of the reply.
 
@@ -240,6 +252,9 @@
             Maximum time from the start to the end of the body, seconds.
         max_bytes : int
             Maximum size of the reply's body.
+        on_reply : callable
+            ``on_reply(reply)`` is called with the `Reply` before its body is
+            read.
 
         Returns
         -------
@@ -257,6 +272,7 @@
         try:
             with trio.fail_after(timeout_s):
                 async with self.stream(address, req, timeout_s) as reply:
+                    on_reply(reply)
                     return reply, await reply.read(max_bytes)
         except trio.TooSlowError as exc:
             raise exceptions.ReplyError(
--- a/dogwoodwheel/entry/components.py
+++ b/dogwoodwheel/entry/components.py
@@ -15,6 +15,7 @@
 from dogwoodwheel.entry import rate_limits
 from dogwoodwheel.entry import request_counts as request_counts_module
 from dogwoodwheel.entry import retry_budget as retry_budget_module
+from dogwoodwheel.platform import http_headers
 
 __all__ = ["Components"]
 
@@ -72,7 +73,7 @@
         """Return the components of an entry that has just started."""
         return cls(
             settings=settings,
-            fleet_state=fleet_state_module.FleetState(),
+            fleet_state=fleet_state_module.FleetState(metrics.count_leaving),
             quotas=quota_module.CustomerQuotas(
                 settings.first_start, settings.quota_slack * OVERDRAFT_FRACTION
             ),
@@ -187,6 +188,24 @@
         ):
             self.heartbeats.send_soon()
 
+    def record_reply(self, endpoint, reply):
+        """Record what a reply tells of the endpoint that sent it.
+
+        Parameters
+        ----------
+        endpoint : dogwoodwheel.entry.datatypes.Endpoint
+        reply : dogwoodwheel.engines.http.Reply
+
+        Notes
+        -----
+        If another process has taken the endpoint's address, the endpoint has
+        gone, so that the notice of the other process is right for it as well.
+        """
+        if http_headers.is_leaving(reply) and self.fleet_state.record_leaving(
+            endpoint.id, endpoint.started_ms
+        ):
+            self.heartbeats.send_soon()
+
     def mark_missing(self, endpoint, model, duration_s):
         """Assume for some seconds that an endpoint does not hold a model."""
         self.missing_models[endpoint, model] = trio.current_time() + duration_s
--- a/dogwoodwheel/entry/fleet_state.py
+++ b/dogwoodwheel/entry/fleet_state.py
@@ -6,6 +6,7 @@
 import trio
 
 from dogwoodwheel.entry import datatypes
+from dogwoodwheel.entry import leaving as leaving_module
 
 __all__ = ["FleetState", "TrackedEndpoint", "merge_scan"]
 
@@ -175,9 +176,10 @@
     holdings : dict of str to (float, dict, str)
         By endpoint: ``reported_at``, ``models`` and ``loading_model`` of
         the newest report, as passed to `update_holdings`.
+    leaving : dogwoodwheel.entry.leaving.LeavingEndpoints
     """
 
-    def __init__(self):
+    def __init__(self, on_leaving=lambda: None):
         self.config = None
         self.evacuated_zones = frozenset()
         self.endpoints = {}
@@ -185,6 +187,7 @@
         self.operator_row = 0
         self.peer_operator_version = 0
         self.holdings = {}
+        self.leaving = leaving_module.LeavingEndpoints(on_leaving)
         self._loading_models = {}
         self._changed = trio.Event()
 
@@ -279,12 +282,14 @@
         -------
         float or None
             Time of trio's clock at which this entry learned of the load;
-            None if no tracked endpoint is loading the model.
+            None if no endpoint that may get requests is loading the model.
         """
         began_times = [
             began_at
             for name, (model, began_at) in self._loading_models.items()
-            if model == model_name and name in self.endpoints
+            if model == model_name
+            and name in self.endpoints
+            and self._may_get_requests(self.endpoints[name])
         ]
         return min(began_times, default=None)
 
@@ -300,16 +305,37 @@
 
     def usable_endpoints(self, service):
         """Return the tracked endpoints of a service that may get requests."""
-        now = trio.current_time()
         return [
             tracked
             for tracked in self.endpoints.values()
             if tracked.endpoint.service == service
-            and tracked.usable_at <= now
-            and tracked.endpoint.ready
-            and tracked.endpoint.zone not in self.evacuated_zones
+            and self._may_get_requests(tracked)
         ]
 
+    def _may_get_requests(self, tracked_endpoint):
+        endpoint = tracked_endpoint.endpoint
+        return (
+            endpoint.ready
+            and tracked_endpoint.usable_at <= trio.current_time()
+            and endpoint.zone not in self.evacuated_zones
+            and not self.leaving.is_leaving(endpoint)
+        )
+
+    def record_leaving(self, endpoint_id, started_ms, is_own=True):
+        """Record that an endpoint leaves; return whether this is news.
+
+        Parameters
+        ----------
+        endpoint_id, started_ms, is_own
+            As for `dogwoodwheel.entry.leaving.LeavingEndpoints.record`.
+        """
+        is_news = self.leaving.record(
+            endpoint_id, started_ms, trio.current_time(), is_own
+        )
+        if is_news:
+            self.notify_change()
+        return is_news
+
     def notify_change(self):
         """Wake all tasks in `wait_for_change`."""
         self._changed.set()
--- a/dogwoodwheel/entry/leader.py
+++ b/dogwoodwheel/entry/leader.py
@@ -149,7 +149,10 @@
     def _start_reports(self, nursery):
         """Request a report from each engine whose report pause is over."""
         now = trio.current_time()
+        leaving = self.components.fleet_state.leaving
         for name, engine in self._engines.items():
+            if leaving.is_leaving(engine.endpoint):
+                continue
             is_busy = engine.loading_model or engine.report is None
             is_busy = is_busy or engine.reported_at < engine.min_reported_at
             pause_s = BUSY_REPORT_PAUSE_S if is_busy else IDLE_REPORT_PAUSE_S
--- a/dogwoodwheel/entry/membership.py
+++ b/dogwoodwheel/entry/membership.py
@@ -156,6 +156,9 @@
             sound_sections=sound_sections,
             earlier_quarantines=earlier_quarantines,
             limits=components.endpoint_limits.report(trio.current_time()),
+            leaving=fleet_state.leaving.report(
+                tracked.endpoint for tracked in fleet_state.endpoints.values()
+            ),
         )
 
     def _peer_addresses(self):
@@ -216,6 +219,10 @@
             now,
             components.refill_fraction(),
         )
+        for endpoint, started_ms in heartbeat.leaving.items():
+            components.fleet_state.record_leaving(
+                endpoint, int(started_ms), is_own=False
+            )
         components.query_of_death_detector.record_peer_report(
             heartbeat.crashes,
             heartbeat.sound_sections,
--- a/dogwoodwheel/entry/order_sender.py
+++ b/dogwoodwheel/entry/order_sender.py
@@ -69,6 +69,11 @@
             if not self._lease.may_order:
                 outcome = "no lease"
                 break
+            if self._components.fleet_state.leaving.is_leaving(
+                engine.endpoint
+            ):
+                outcome = "leaving"
+                break
             outcome = await self._send_once(engine, order)
             if outcome == "no answer":
                 unanswered_attempts += 1
--- a/dogwoodwheel/entry/prompt_guard.py
+++ b/dogwoodwheel/entry/prompt_guard.py
@@ -4,7 +4,8 @@
 -----
 Workload: as for `query_of_death`.  An attempt that breaks off counts as a
 crash only if the endpoint's VM then refuses a connection: an endpoint that
-resets single connections, a cut link and a VM without power do not.
+resets single connections, a cut link and a VM without power do not.  Nor does
+an endpoint that has said that it leaves, since its process ends by itself.
 """
 
 from loguru import logger
@@ -137,6 +138,7 @@
         if (
             not self._sections
             or self._event_count >= query_of_death.SOUND_EVENTS
+            or self._components.fleet_state.leaving.is_leaving(endpoint)
             or not await self._components.crash_checker.has_crashed(endpoint)
         ):
             return False
--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -264,6 +264,9 @@
                 ),
                 outcome=outcome,
                 limit=self.rate_limit,
+                leaving=self.components.fleet_state.leaving.is_leaving(
+                    endpoint
+                ),
                 events=self.splitter.event_count if self.splitter else 0,
                 took_ms=round((trio.current_time() - began) * 1000),
                 left_ms=round(time_left_s * 1000),
@@ -357,6 +360,7 @@
     async def _handle_reply(self, endpoint, reply, ran_before, silence_scope):
         """Handle a reply; return the outcome for the log, and the failure."""
         self._record_limit(endpoint, reply)
+        self.components.record_reply(endpoint, reply)
         if http_headers.was_not_executed(reply):
             self.may_have_run = ran_before
             return await self._handle_not_run(endpoint, reply)
--- a/dogwoodwheel/platform/engine_client.py
+++ b/dogwoodwheel/platform/engine_client.py
@@ -1,5 +1,6 @@
 """Client that fetches reports from engines and sends them orders."""
 
+import functools
 import json
 
 from dogwoodwheel.engines import http
@@ -30,10 +31,13 @@
     Parameters
     ----------
     http_client : dogwoodwheel.engines.http.HttpClient
+    on_reply : callable
+        ``on_reply(endpoint, reply)`` is called with the head of each reply.
     """
 
-    def __init__(self, http_client):
+    def __init__(self, http_client, on_reply=lambda endpoint, reply: None):
         self._http_client = http_client
+        self._on_reply = on_reply
 
     async def fetch_report(self, endpoint):
         """Return the `EngineReport` of an endpoint.
@@ -51,9 +55,7 @@
         request = http.Request(
             "", "GET", b"/api/report", _instance_headers(endpoint)
         )
-        status, data = await self._http_client.call(
-            endpoint.address, request, REPORT_TIMEOUT_S
-        )
+        status, data = await self._call(endpoint, request, REPORT_TIMEOUT_S)
         if status != OK:
             raise exceptions.EndpointError(
                 f"{endpoint.id} replied with status {status} to a report call"
@@ -116,9 +118,7 @@
             + ((b"content-type", b"application/json"),),
             json.dumps(body).encode(),
         )
-        status, _ = await self._http_client.call(
-            endpoint.address, request, ORDER_TIMEOUT_S
-        )
+        status, _ = await self._call(endpoint, request, ORDER_TIMEOUT_S)
         if status == CONFLICT:
             raise exceptions.BusyError(
                 f"{endpoint.id} carries out another order or has accepted one "
@@ -135,6 +135,14 @@
             )
         return status == ACCEPTED
 
+    async def _call(self, endpoint, request, timeout_s):
+        return await self._http_client.call(
+            endpoint.address,
+            request,
+            timeout_s,
+            on_reply=functools.partial(self._on_reply, endpoint),
+        )
+
 
 def _instance_headers(endpoint):
     return ((EXPECT_INSTANCE_HEADER, endpoint.id.encode()),)
--- a/dogwoodwheel/platform/http_headers.py
+++ b/dogwoodwheel/platform/http_headers.py
@@ -13,6 +13,7 @@
     "event_id",
     "for_caller",
     "for_endpoint",
+    "is_leaving",
     "request_rate_limit",
     "reply_form",
     "reported_request_counts",
@@ -228,6 +229,16 @@
     )
 
 
+def is_leaving(reply):
+    """Return whether an endpoint says in a reply that it leaves."""
+    value = reply.header(b"server-leaving")
+    if value not in (b"", b"0", b"1"):
+        logger.warning(
+            "leaving: malformed", value=value[:64].decode("latin-1")
+        )
+    return value == b"1"
+
+
 def request_rate_limit(reply):
     """Return the limit that an endpoint names in a reply.
 
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -142,7 +142,9 @@
         self.leader = leader_module.Leader(
             self.components,
             self.lease,
-            engine_client.EngineClient(http_client),
+            engine_client.EngineClient(
+                http_client, self.components.record_reply
+            ),
         )
         heartbeats.is_leader = lambda: self.lease.is_held
         self.member.lease = self.lease
@@ -241,6 +243,9 @@
             self.metrics.set_store_era(self.store.era)
             self.components.outlier_detector.retain(fleet_state.endpoints)
             self.components.endpoint_limits.retain(fleet_state.endpoints)
+            fleet_state.leaving.retain(
+                fleet_state.endpoints, trio.current_time()
+            )
             self.components.query_of_death_detector.expire(trio.current_time())
             addresses = {
                 tracked.endpoint.address
--- a/dogwoodwheel/programs/metrics.py
+++ b/dogwoodwheel/programs/metrics.py
@@ -59,6 +59,7 @@
     "unanswered_total": "Requests without a complete answer, by cause.",
     "task_errors_total": "Errors of background tasks, by task.",
     "crash_suspects_total": "Requests in flight as an engine crashed.",
+    "leaving_total": "Endpoints that said in an answer that they leave.",
     "limits_total": "Endpoints that began to name a limit.",
     "quarantines_total": "Prompt sections that were quarantined.",
 }
@@ -167,6 +168,10 @@
         """Count a prompt section that was quarantined."""
         self._metrics["quarantines_total"].inc({})
 
+    def count_leaving(self):
+        """Count an endpoint that said in an answer that it leaves."""
+        self._metrics["leaving_total"].inc({})
+
     def count_limit(self):
         """Count an endpoint that began to name a limit."""
         self._metrics["limits_total"].inc({})
--- a/dogwoodwheel/wire/messages.py
+++ b/dogwoodwheel/wire/messages.py
@@ -359,6 +359,9 @@
     limits : dict of str to (float or None, float or None, int)
         By endpoint that named a limit: the limit in the newest answer that
         this entry got, age of that answer in seconds, and requests sent.
+    leaving : dict of str to int
+        By endpoint that said in an answer that it leaves, though it is
+        registered as ready: Unix time of its start, milliseconds.
     """
 
     id: int
@@ -386,6 +389,7 @@
     sound_sections: dict = dataclasses.field(default_factory=dict)
     earlier_quarantines: dict = dataclasses.field(default_factory=dict)
     limits: dict = dataclasses.field(default_factory=dict)
+    leaving: dict = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/features/chaos/entries.py
+++ b/features/chaos/entries.py
@@ -33,6 +33,8 @@
 POISON = "dead"
 POISON_RATIO = 0.3
 DOWN_S = 0.7
+# Time for which a worker says that it leaves, before it starts again.
+LEAVING_SPAN_S = (4.0, 7.0)
 # Requests per second that a worker in need names as its limit.
 LIMIT = 1.5
 LIMIT_SPAN_S = (6.0, 9.0)
@@ -122,10 +124,14 @@
         name, or ``all``.
     planned : list of (float, float, str)
         Those of `troubled` that are stops and reloads by a signal.
+    restarted : list of (float, float, str)
+        Those of `troubled` in which an entry was ended or frozen.
     poisoned_at : float
         Unix time at which a section of prompts first crashes engines.
     gone : list of (float, float, str)
         From when to when a worker was not registered.
+    leaving : list of (float, float, str)
+        From when to when a worker said in its answers that it leaves.
     evacuated : list of (float, float, str)
         From when to when a zone was evacuated.
     withdrawn : list of (float, str)
@@ -149,8 +155,10 @@
         self.log = []
         self.troubled = []
         self.planned = []
+        self.restarted = []
         self.poisoned_at = math.inf
         self.gone = []
+        self.leaving = []
         self.evacuated = []
         self.withdrawn = []
         self.limited = []
@@ -173,6 +181,7 @@
             self.restore,
             self.poison,
             self.limit,
+            self.say_leaving,
         )
 
     def go(self, seconds):
@@ -303,6 +312,8 @@
         self.troubled.append(span)
         if kind in (self.stop_entry, self.reload):
             self.planned.append(span)
+        if kind in (self.kill, self.pause, self.stop_entry):
+            self.restarted.append(span)
         self.log.append((began, f"{kind.__name__} {whom}"))
 
     def _last(self, rng):
@@ -442,6 +453,21 @@
                 self.fleet.register(name)
         return ""
 
+    def say_leaving(self, rng):
+        """Let a worker say that it leaves, and start again after a while."""
+        group = rng.choice((PLAIN, ENGINES))
+        name = rng.choice(tuple(group))
+        with self._locks["plain" if group is PLAIN else "engines"]:
+            began = time.time()
+            worker = self.fleet.workers[name]
+            worker.call("set", leaving="1")
+            time.sleep(rng.uniform(*LEAVING_SPAN_S))
+            self.leaving.append((began, time.time(), name))
+            worker.call("set", leaving="")
+            self.fleet.register(name, born=int(time.time() * 1000))
+            self.log.append((began, f"say_leaving {name}"))
+        return ""
+
     def configure(self, rng):
         """Bring a harmless new version into force."""
         with self._locks["config"]:
--- a/features/chaos/entry_checks.py
+++ b/features/chaos/entry_checks.py
@@ -51,6 +51,7 @@
         lambda: _runs(run, workers),
         lambda: _answers(run),
         lambda: _left(run, workers),
+        lambda: _leaving(run, workers),
         lambda: _withdrawn(run, workers),
         lambda: _orders(orders),
         lambda: _poison(run, workers),
@@ -155,6 +156,43 @@
                     )
 
 
+def _leaving(run, workers):
+    """Check what reaches a worker whose leaving an entry has passed on.
+
+    Only a restart or a freeze of the entry since then excuses it.
+    """
+    sent = {one.id: one for one in run.sent}
+    for since, until, name in run.leaving:
+        told = {}
+        for event in workers[name]:
+            one = sent.get(event["id"])
+            if one is None or not since <= event["at"] < until:
+                continue
+            passed_on = (
+                one.answer.headers.get("server-leaving")
+                and one.answer.headers.get("x-server-seal") == f"seal.{name}"
+            )
+            if passed_on:
+                told[one.entry] = min(
+                    one.ended, told.get(one.entry, one.ended)
+                )
+        for event in workers[name]:
+            one = sent.get(event["id"])
+            if one is None or not since <= event["at"] < until:
+                continue
+            at = told.get(one.entry)
+            if at is None or one.begun < at + DRAIN_S:
+                continue
+            if not any(
+                whom == one.entry and begun <= event["at"] and ended >= at
+                for begun, ended, whom in run.restarted
+            ):
+                yield (
+                    f"{name} got {one.id} from {one.entry}, which it told "
+                    f"{event['at'] - at:.2f} s before that it leaves"
+                )
+
+
 def _withdrawn(run, workers):
     """Check that a key that was withdrawn opens nothing."""
     ran = {
--- a/features/standins/worker.py
+++ b/features/standins/worker.py
@@ -114,6 +114,8 @@
         self.delay_s = 0.0
         self.poison = None
         self.limit = None
+        self.leaving = ""
+        self.turn_away = ""
         self.crash = None
         self.odd_report = None
         self.nursery = None
@@ -144,6 +146,8 @@
         poison=None,
         limit=None,
         odd_report=None,
+        leaving=None,
+        turn_away=None,
     ):
         """Set how the worker treats requests and orders.
 
@@ -152,6 +156,9 @@
 
         The limit is the number of requests per second that the worker names
         in its answers; it takes more all the same, and 0 names none.
+        Leaving is what all answers say of whether the worker leaves.  While
+        turn_away is set, each request is turned away with it as the time to
+        return.  An empty text ends either.
         Poison is a section of prompts and the seconds for which the worker
         is down after it has begun to answer a prompt with that section.
         """
@@ -159,6 +166,10 @@
             self.odd_report = odd_report.encode() or None
         if limit is not None:
             self.limit = limit or None
+        if leaving is not None:
+            self.leaving = leaving
+        if turn_away is not None:
+            self.turn_away = turn_away
         if poison is not None:
             self.poison = poison
         if delay_s is not None:
@@ -173,17 +184,24 @@
         self.connections.add(id(exchange.conn))
         expected = exchange.headers.get("x-expect-instance", self.name)
         if expected != self.name:
-            headers = [("x-instance-id", self.name)]
+            headers = [("x-instance-id", self.name), *self._notices()]
             await exchange.reply(MISDIRECTED, {}, headers)
         elif exchange.path == "/api/report":
             if self.odd_report is not None:
                 self.history.add("odd_report")
-            await exchange.reply(OK, self.odd_report or self._report())
+            self.history.add("report", at=time.time())
+            await exchange.reply(
+                OK, self.odd_report or self._report(), self._notices()
+            )
         elif exchange.path == "/api/order":
             await self._order(exchange)
         else:
             await self._request(exchange)
 
+    def _notices(self):
+        """Return the headers that tell of the worker itself."""
+        return [("server-leaving", self.leaving)] if self.leaving else []
+
     def _report(self):
         return {
             "stage": "colocated",
@@ -211,7 +229,7 @@
             self.lost_orders -= 1
             self.nursery.start_soon(self._late_order, body)
             await trio.sleep_forever()
-        await exchange.reply(self._take(body), {})
+        await exchange.reply(self._take(body), {}, self._notices())
 
     async def _late_order(self, body):
         await trio.sleep(LATE_ORDER_S)
@@ -267,7 +285,7 @@
             ran=False,
             ended=None,
         )
-        reply = [("x-request-id", request_id)]
+        reply = [("x-request-id", request_id), *self._notices()]
         if self.limit is not None:
             reply.append(("server-limit", str(self.limit)))
         if fault == "hang":
@@ -280,6 +298,14 @@
             not_run = [*reply, ("x-not-executed", "1")]
             await exchange.reply(UNAVAILABLE, {}, not_run)
             return
+        if self.turn_away:
+            not_run = [
+                *reply,
+                ("x-not-executed", "1"),
+                ("retry-after", self.turn_away),
+            ]
+            await exchange.reply(UNAVAILABLE, {}, not_run)
+            return
         if fault == "missing" or model and not self._holds(model, adapter):
             self.refused_ids.setdefault(exchange.conn, []).append(request_id)
             await exchange.reply(MISDIRECTED, {}, reply)
--- a/features/steps/entry_placement_steps.py
+++ b/features/steps/entry_placement_steps.py
@@ -13,6 +13,7 @@
 from dogwoodwheel.entry import adapter_planner
 from dogwoodwheel.entry import datatypes
 from dogwoodwheel.entry import engine_state
+from dogwoodwheel.entry import fleet_state
 from dogwoodwheel.entry import leader
 from dogwoodwheel.entry import order_sender
 from dogwoodwheel.entry import planner
@@ -330,7 +331,7 @@
     orders = order_sender.OrderSender(
         types.SimpleNamespace(
             settings=types.SimpleNamespace(name="entry-1"),
-            fleet_state=types.SimpleNamespace(notify_change=lambda: None),
+            fleet_state=fleet_state.FleetState(),
             metrics=types.SimpleNamespace(count_order=lambda kind: None),
         ),
         types.SimpleNamespace(fencing_token=7, may_order=True),
