Send endpoints nothing for the time for which they want no requests

An endpoint that turned a request away with 503 and Retry-After went on getting requests from the same entry, as many as if it had only been full for a moment: no code read the header.

Cause: a 503 of an endpoint counted for the one request only. The wait is now state of the entry for one incarnation of the endpoint (endpoint_waits). Until it ends, the endpoint is not selected, not even instead of one that is ejected as an outlier, and the leader sends it neither reports nor orders. It has not failed: the answer is no outcome for outlier detection, and its models count as held. If all endpoints that are suited are away, a request is refused at once with the time that is left; one whose caller would come back too early, as callers honour a Retry-After up to a third of their time, waits if its deadline allows it. Peers are not told, as they may be served. What is no number of seconds is logged and has no effect. The check whether an engine crashed opens a connection but sends no request, and is still made.

--- a/dogwoodwheel/entry/components.py
+++ b/dogwoodwheel/entry/components.py
@@ -5,6 +5,7 @@
 import trio
 
 from dogwoodwheel.entry import cold_start
+from dogwoodwheel.entry import endpoint_waits as endpoint_waits_module
 from dogwoodwheel.entry import fleet_state as fleet_state_module
 from dogwoodwheel.entry import heartbeats as heartbeats_module
 from dogwoodwheel.entry import load_balancing
@@ -39,6 +40,7 @@
             dogwoodwheel.entry.query_of_death.QueryOfDeathDetector
     crash_checker : dogwoodwheel.entry.prompt_guard.CrashChecker
     endpoint_limits : dogwoodwheel.entry.rate_limits.EndpointLimits
+    endpoint_waits : dogwoodwheel.entry.endpoint_waits.EndpointWaits
     cold_limiter : dogwoodwheel.entry.cold_start.ColdEndpointLimiter
     request_counts : dogwoodwheel.entry.request_counts.RequestCounts
     http_client : dogwoodwheel.engines.http.HttpClient
@@ -60,6 +62,7 @@
     query_of_death_detector: object
     crash_checker: object
     endpoint_limits: object
+    endpoint_waits: object
     cold_limiter: object
     request_counts: object
     http_client: object
@@ -88,6 +91,9 @@
             ),
             crash_checker=prompt_guard.CrashChecker(http_client),
             endpoint_limits=rate_limits.EndpointLimits(metrics.count_limit),
+            endpoint_waits=endpoint_waits_module.EndpointWaits(
+                metrics.count_wait
+            ),
             cold_limiter=cold_start.ColdEndpointLimiter(),
             request_counts=request_counts_module.RequestCounts(),
             http_client=http_client,
@@ -201,6 +207,9 @@
         If another process has taken the endpoint's address, the endpoint has
         gone, so that the notice of the other process is right for it as well.
         """
+        wait_s = http_headers.retry_after_s(reply)
+        if wait_s:
+            self.endpoint_waits.record(endpoint, wait_s, trio.current_time())
         if http_headers.is_leaving(reply) and self.fleet_state.record_leaving(
             endpoint.id, endpoint.started_ms
         ):
--- a/dogwoodwheel/entry/endpoint_selection.py
+++ b/dogwoodwheel/entry/endpoint_selection.py
@@ -14,6 +14,7 @@
 import trio
 
 from dogwoodwheel.entry import cold_start
+from dogwoodwheel.entry import endpoint_waits
 from dogwoodwheel.entry import limit_waits
 from dogwoodwheel.entry import load_balancing
 from dogwoodwheel.entry import load_waits
@@ -22,6 +23,7 @@
 __all__ = [
     "Requirements",
     "min_load_s",
+    "named_wait_s",
     "select_endpoint",
     "wait_for_endpoint",
 ]
@@ -108,28 +110,13 @@
         began_at = trio.current_time()
         while True:
             waited_s = trio.current_time() - began_at
-            wait_s = load_waits.time_needed_s(
-                _expected_wait_s(components, requirements, waited_s), waited_s
-            )
             left_s = (
                 requirements.deadline - trio.current_time() - MIN_ANSWER_TIME_S
             )
-            if wait_s > left_s:
-                raise _no_endpoint_refusal(components, requirements, wait_s)
-            limit_s = _limit_wait_s(components, requirements)
-            if limit_s > MIN_POLL_INTERVAL_S:
-                limit_waits.check_wait(
-                    requirements.waiting_name,
-                    limit_s,
-                    min(
-                        left_s,
-                        limit_waits.max_wait_s(requirements.target_latency_s)
-                        - waited_s,
-                    ),
-                )
+            hold_s = _check_wait(components, requirements, waited_s, left_s)
             poll_s = min(MAX_POLL_INTERVAL_S, left_s)
-            if limit_s:
-                poll_s = min(poll_s, max(limit_s, MIN_POLL_INTERVAL_S))
+            if hold_s:
+                poll_s = min(poll_s, max(hold_s, MIN_POLL_INTERVAL_S))
             with trio.move_on_after(poll_s):
                 await components.fleet_state.wait_for_change()
             selected = select_endpoint(components, requirements, excluded)
@@ -137,6 +124,31 @@
                 return _check_deadline(components, requirements, selected)
 
 
+def _check_wait(components, requirements, waited_s, left_s):
+    """Return for how long endpoints hold a request back, or refuse it.
+
+    The time is in seconds; 0 if another reason keeps the request waiting.
+    """
+    named_s = named_wait_s(components, requirements)
+    if named_s > MIN_POLL_INTERVAL_S:
+        endpoint_waits.check_wait(requirements, named_s, waited_s, left_s)
+        return named_s
+    wait_s = load_waits.time_needed_s(
+        _expected_wait_s(components, requirements, waited_s), waited_s
+    )
+    if wait_s > left_s:
+        raise _no_endpoint_refusal(components, requirements, wait_s)
+    limit_s = _limit_wait_s(components, requirements)
+    if limit_s > MIN_POLL_INTERVAL_S:
+        max_wait_s = limit_waits.max_wait_s(requirements.target_latency_s)
+        limit_waits.check_wait(
+            requirements.waiting_name,
+            limit_s,
+            min(left_s, max_wait_s - waited_s),
+        )
+    return limit_s
+
+
 def _check_deadline(components, requirements, tracked_endpoint):
     """Return the endpoint, or refuse a request that would miss its deadline.
 
@@ -214,6 +226,9 @@
         tracked.endpoint.id: tracked
         for tracked in usable
         if tracked.endpoint.id not in excluded
+        and not components.endpoint_waits.wait_s(
+            tracked.endpoint, trio.current_time()
+        )
         and _meets_requirements(components, requirements, tracked.endpoint.id)
     }
     now = trio.current_time()
@@ -338,28 +353,58 @@
     )
 
 
+def _suited_endpoints(components, requirements):
+    """Return the usable endpoints that can handle a request."""
+    return [
+        tracked.endpoint
+        for tracked in components.fleet_state.usable_endpoints(
+            requirements.service.name
+        )
+        if _meets_requirements(components, requirements, tracked.endpoint.id)
+    ]
+
+
 def _limit_wait_s(components, requirements):
     """Return the expected time for which limits hold a request back.
 
     The time is in seconds; requests that wait for the same are assumed to be
     sent first.  0 if no endpoint is suited, as then no limit is the reason.
     """
-    suited = [
-        tracked.endpoint.id
-        for tracked in components.fleet_state.usable_endpoints(
-            requirements.service.name
-        )
-        if _meets_requirements(components, requirements, tracked.endpoint.id)
-    ]
+    now = trio.current_time()
+    waits = components.endpoint_waits
     limits = components.endpoint_limits
-    if not suited or any(limits.limit(name) is None for name in suited):
+    suited = _suited_endpoints(components, requirements)
+    wanting = [e.id for e in suited if not waits.wait_s(e, now)]
+    if not wanting or any(limits.limit(name) is None for name in wanting):
         return 0.0
-    return limits.wait_s(
-        suited,
-        trio.current_time(),
+    limit_s = limits.wait_s(
+        wanting,
+        now,
         components.refill_fraction(),
         max(1, components.waiting_count(requirements.waiting_name)),
     )
+    return min(
+        [limit_s]
+        + [waits.wait_s(e, now) for e in suited if e.id not in wanting]
+    )
+
+
+def named_wait_s(components, requirements):
+    """Return the time until a suited endpoint wants requests, seconds.
+
+    Parameters
+    ----------
+    components : dogwoodwheel.entry.components.Components
+    requirements : Requirements
+
+    Returns
+    -------
+    float
+        0 unless all suited endpoints have named a wait.
+    """
+    return components.endpoint_waits.shortest_wait_s(
+        _suited_endpoints(components, requirements), trio.current_time()
+    )
 
 
 def _no_endpoint_refusal(components, requirements, wait_s):
--- a/dogwoodwheel/entry/leader.py
+++ b/dogwoodwheel/entry/leader.py
@@ -151,7 +151,9 @@
         now = trio.current_time()
         leaving = self.components.fleet_state.leaving
         for name, engine in self._engines.items():
-            if leaving.is_leaving(engine.endpoint):
+            if leaving.is_leaving(engine.endpoint) or self._wants_nothing(
+                engine
+            ):
                 continue
             is_busy = engine.loading_model or engine.report is None
             is_busy = is_busy or engine.reported_at < engine.min_reported_at
@@ -164,6 +166,14 @@
             self._engines_awaiting_report.add(name)
             nursery.start_soon(self._fetch_report, name, engine)
 
+    def _wants_nothing(self, engine):
+        """Return whether an engine has named a wait that has not ended."""
+        return bool(
+            self.components.endpoint_waits.wait_s(
+                engine.endpoint, trio.current_time()
+            )
+        )
+
     async def _fetch_report(self, name, engine):
         try:
             requested_at = trio.current_time()
@@ -318,7 +328,8 @@
             disk_weights=report.disk_weights,
             busy=report.busy
             or bool(engine.loading_model)
-            or not engine.can_accept_order(now),
+            or not engine.can_accept_order(now)
+            or self._wants_nothing(engine),
             loading_model=engine.loading_model,
             loading_from_weight_store=engine.loading_from_weight_store,
             failing=self.components.outlier_detector.failure_ratio(name, now)
@@ -351,7 +362,9 @@
             spec, views, demand, reports, self._adapter_ordered_at
         ):
             engine = engines[order.endpoint]
-            if not engine.can_accept_order(trio.current_time()):
+            if not engine.can_accept_order(
+                trio.current_time()
+            ) or self._wants_nothing(engine):
                 continue
             key = (order.endpoint, order.model, order.adapter)
             self._adapter_ordered_at[key] = trio.current_time()
--- a/dogwoodwheel/entry/order_sender.py
+++ b/dogwoodwheel/entry/order_sender.py
@@ -74,6 +74,13 @@
             ):
                 outcome = "leaving"
                 break
+            if self._components.endpoint_waits.wait_s(
+                engine.endpoint, trio.current_time()
+            ):
+                # An earlier attempt may have been accepted.
+                engine.require_new_report(trio.current_time())
+                outcome = "wants nothing"
+                break
             outcome = await self._send_once(engine, order)
             if outcome == "no answer":
                 unanswered_attempts += 1
--- a/dogwoodwheel/entry/prompt_guard.py
+++ b/dogwoodwheel/entry/prompt_guard.py
@@ -6,6 +6,7 @@
 crash only if the endpoint's VM then refuses a connection: an endpoint that
 resets single connections, a cut link and a VM without power do not.  Nor does
 an endpoint that has said that it leaves, since its process ends by itself.
+The check sends no request, so it is made also while the endpoint wants none.
 """
 
 from loguru import logger
--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -133,7 +133,13 @@
                 tracked_endpoint = endpoint_selection.select_endpoint(
                     components, self.requirements, self.excluded_endpoints
                 )
-                if tracked_endpoint is None and self.endpoint_full:
+                if (
+                    tracked_endpoint is None
+                    and self.endpoint_full
+                    and not endpoint_selection.named_wait_s(
+                        components, self.requirements
+                    )
+                ):
                     raise failure
                 if tracked_endpoint is None:
                     # Every endpoint has been tried; each may be tried again.
@@ -264,6 +270,12 @@
                 ),
                 outcome=outcome,
                 limit=self.rate_limit,
+                wait_s=round(
+                    self.components.endpoint_waits.wait_s(
+                        endpoint, trio.current_time()
+                    ),
+                    3,
+                ),
                 leaving=self.components.fleet_state.leaving.is_leaving(
                     endpoint
                 ),
@@ -415,7 +427,12 @@
                 "endpoint_full",
                 "the endpoints are full; come back",
                 503,
-                retry_after_s=0.3,
+                retry_after_s=max(
+                    0.3,
+                    endpoint_selection.named_wait_s(
+                        self.components, self.requirements
+                    ),
+                ),
             )
         return f"not_run {reply.status}", failure
 
@@ -423,9 +440,10 @@
         """Handle an error reply; return the logged outcome and the failure."""
         body = await reply.read()
         self.attempts += 1
-        self.components.record_outcome(
-            endpoint.id, reply.status < MIN_SERVER_ERROR_STATUS
-        )
+        if not http_headers.retry_after_s(reply):
+            self.components.record_outcome(
+                endpoint.id, reply.status < MIN_SERVER_ERROR_STATUS
+            )
         outcome = f"failed {reply.status}"
         if (
             self.caller.reply_started
--- a/dogwoodwheel/platform/http_headers.py
+++ b/dogwoodwheel/platform/http_headers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import re
 
 from loguru import logger
 
@@ -17,6 +18,7 @@
     "request_rate_limit",
     "reply_form",
     "reported_request_counts",
+    "retry_after_s",
     "server_seal",
     "was_not_executed",
     "weights_version",
@@ -50,9 +52,13 @@
 )
 # HTTP status of an endpoint that does not hold the requested model.
 MISDIRECTED = 421
+# HTTP status of an endpoint that turns a request away.
+UNAVAILABLE = 503
 # Statuses that promise a caller that its request has not run.
-NOT_RUN_STATUSES = (408, MISDIRECTED, 429, 503)
+NOT_RUN_STATUSES = (408, MISDIRECTED, 429, UNAVAILABLE)
 MIN_FAILURE_STATUS = 400
+# Seconds, with a fraction or without; a longer number is no time.
+SECONDS_PATTERN = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -239,6 +245,24 @@
     return value == b"1"
 
 
+def retry_after_s(reply):
+    """Return for how long an endpoint wants no requests of this entry.
+
+    Returns
+    -------
+    float
+        Seconds; 0 unless the endpoint turns a request away and names a time
+        that can be understood.  The platform defines no dates here.
+    """
+    value = reply.header(b"retry-after").strip()
+    if reply.status != UNAVAILABLE or not value:
+        return 0.0
+    if SECONDS_PATTERN.fullmatch(value):
+        return float(value)
+    logger.warning("wait: malformed", value=value[:64].decode("latin-1"))
+    return 0.0
+
+
 def request_rate_limit(reply):
     """Return the limit that an endpoint names in a reply.
 
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -243,6 +243,7 @@
             self.metrics.set_store_era(self.store.era)
             self.components.outlier_detector.retain(fleet_state.endpoints)
             self.components.endpoint_limits.retain(fleet_state.endpoints)
+            self.components.endpoint_waits.expire(trio.current_time())
             fleet_state.leaving.retain(
                 fleet_state.endpoints, trio.current_time()
             )
--- a/dogwoodwheel/programs/metrics.py
+++ b/dogwoodwheel/programs/metrics.py
@@ -61,6 +61,7 @@
     "crash_suspects_total": "Requests in flight as an engine crashed.",
     "leaving_total": "Endpoints that said in an answer that they leave.",
     "limits_total": "Endpoints that began to name a limit.",
+    "waits_total": "Endpoints that began to want no requests for a time.",
     "quarantines_total": "Prompt sections that were quarantined.",
 }
 GAUGES = {
@@ -172,6 +173,10 @@
         """Count an endpoint that said in an answer that it leaves."""
         self._metrics["leaving_total"].inc({})
 
+    def count_wait(self):
+        """Count an endpoint that began to want no requests for a time."""
+        self._metrics["waits_total"].inc({})
+
     def count_limit(self):
         """Count an endpoint that began to name a limit."""
         self._metrics["limits_total"].inc({})
--- a/features/chaos/entries.py
+++ b/features/chaos/entries.py
@@ -35,6 +35,10 @@
 DOWN_S = 0.7
 # Time for which a worker says that it leaves, before it starts again.
 LEAVING_SPAN_S = (4.0, 7.0)
+# Seconds after which requests that a worker turns away may come back, and how
+# many it turns away.
+TURN_AWAY_S = (1.0, 4.0)
+TURN_AWAY_COUNT = (1, 3)
 # Requests per second that a worker in need names as its limit.
 LIMIT = 1.5
 LIMIT_SPAN_S = (6.0, 9.0)
@@ -126,6 +130,8 @@
         Those of `troubled` that are stops and reloads by a signal.
     restarted : list of (float, float, str)
         Those of `troubled` in which an entry was ended or frozen.
+    cut_off : list of (float, float, str)
+        Those of `troubled` in which links of an entry or of all were harmed.
     poisoned_at : float
         Unix time at which a section of prompts first crashes engines.
     gone : list of (float, float, str)
@@ -156,6 +162,7 @@
         self.troubled = []
         self.planned = []
         self.restarted = []
+        self.cut_off = []
         self.poisoned_at = math.inf
         self.gone = []
         self.leaving = []
@@ -182,6 +189,7 @@
             self.poison,
             self.limit,
             self.say_leaving,
+            self.turn_away,
         )
 
     def go(self, seconds):
@@ -314,6 +322,8 @@
             self.planned.append(span)
         if kind in (self.kill, self.pause, self.stop_entry):
             self.restarted.append(span)
+        if kind in (self.cut_store, self.cut_worker):
+            self.cut_off.append(span)
         self.log.append((began, f"{kind.__name__} {whom}"))
 
     def _last(self, rng):
@@ -468,6 +478,18 @@
             self.log.append((began, f"say_leaving {name}"))
         return ""
 
+    def turn_away(self, rng):
+        """Let a worker turn requests away, and name the time to return."""
+        name = rng.choice((*ENGINES, *PLAIN))
+        seconds = round(rng.uniform(*TURN_AWAY_S), 1)
+        self.fleet.workers[name].call(
+            "set",
+            turn_away=str(seconds),
+            turn_away_count=rng.randint(*TURN_AWAY_COUNT),
+        )
+        self.log.append((time.time(), f"turn_away {name} {seconds} s"))
+        return ""
+
     def configure(self, rng):
         """Bring a harmless new version into force."""
         with self._locks["config"]:
--- a/features/chaos/entry_checks.py
+++ b/features/chaos/entry_checks.py
@@ -28,6 +28,10 @@
 LEAST_SOUND = 20
 # Requests that were passed on and cut off without any failure.
 MAX_CLOSED = 3
+# Requests of an entry that a worker which turned one of them away may get from
+# GRACE_S after that until the time that it named.
+MAX_EARLY = 2
+GRACE_S = 0.5
 # Requests that a worker with a limit may get in LIMIT_WINDOW_S.
 LIMIT_WINDOW_S = 4.0
 LIMIT_RATIO = 1.5
@@ -52,6 +56,7 @@
         lambda: _answers(run),
         lambda: _left(run, workers),
         lambda: _leaving(run, workers),
+        lambda: _turned_away(run, workers),
         lambda: _withdrawn(run, workers),
         lambda: _orders(orders),
         lambda: _poison(run, workers),
@@ -193,6 +198,38 @@
                 )
 
 
+def _turned_away(run, workers):
+    """Check what reaches a worker before the time to return that it named.
+
+    A restart, freeze or cut of the entry meanwhile excuses it.
+    """
+    sent = {one.id: one for one in run.sent}
+    excused = run.restarted + run.cut_off
+    for name, events in workers.items():
+        arrivals = [
+            (event, sent[event["id"]].entry)
+            for event in events
+            if event["id"] in sent
+        ]
+        for turned, entry in arrivals:
+            if "retry_after_s" not in turned:
+                continue
+            since = turned["at"] + GRACE_S
+            until = turned["at"] + turned["retry_after_s"]
+            early = [
+                event["id"]
+                for event, other in arrivals
+                if other == entry and since <= event["at"] <= until
+            ]
+            if len(early) > MAX_EARLY and not any(
+                whom in (entry, "all")
+                and begun <= until
+                and ended >= turned["at"]
+                for begun, ended, whom in excused
+            ):
+                yield f"{name} got {early} of {entry} before it wanted any"
+
+
 def _withdrawn(run, workers):
     """Check that a key that was withdrawn opens nothing."""
     ran = {
--- a/features/notice_builders.py
+++ b/features/notice_builders.py
@@ -48,11 +48,13 @@
     )
 
 
-def requirements(entry, deadline, target_latency_s=0.4, service="plain"):
-    """Return what a request for a service requires."""
+def requirements(entry, deadline, target_latency_s=0.4, deadline_s=None):
+    """Return what a request for the plain service requires."""
     return endpoint_selection.Requirements(
-        entry.fleet_state.config.services[service],
-        http_headers.RequestHeaders("r", entry_builders.HOST),
+        entry.fleet_state.config.services["plain"],
+        http_headers.RequestHeaders(
+            "r", entry_builders.HOST, deadline_s=deadline_s
+        ),
         deadline,
         target_latency_s,
     )
--- a/features/standins/worker.py
+++ b/features/standins/worker.py
@@ -11,6 +11,7 @@
 import contextlib
 import functools
 import json
+import math
 import time
 import weakref
 
@@ -116,6 +117,7 @@
         self.limit = None
         self.leaving = ""
         self.turn_away = ""
+        self.turn_away_count = math.inf
         self.crash = None
         self.odd_report = None
         self.nursery = None
@@ -148,6 +150,7 @@
         odd_report=None,
         leaving=None,
         turn_away=None,
+        turn_away_count=math.inf,
     ):
         """Set how the worker treats requests and orders.
 
@@ -158,7 +161,7 @@
         in its answers; it takes more all the same, and 0 names none.
         Leaving is what all answers say of whether the worker leaves.  While
         turn_away is set, each request is turned away with it as the time to
-        return.  An empty text ends either.
+        return, but no more than turn_away_count.  An empty text ends either.
         Poison is a section of prompts and the seconds for which the worker
         is down after it has begun to answer a prompt with that section.
         """
@@ -170,6 +173,7 @@
             self.leaving = leaving
         if turn_away is not None:
             self.turn_away = turn_away
+            self.turn_away_count = turn_away_count
         if poison is not None:
             self.poison = poison
         if delay_s is not None:
@@ -298,7 +302,10 @@
             not_run = [*reply, ("x-not-executed", "1")]
             await exchange.reply(UNAVAILABLE, {}, not_run)
             return
-        if self.turn_away:
+        if self.turn_away and self.turn_away_count > 0:
+            self.turn_away_count -= 1
+            event["fault"] = "turned away"
+            event["retry_after_s"] = float(self.turn_away)
             not_run = [
                 *reply,
                 ("x-not-executed", "1"),
--- a/features/steps/entry_placement_steps.py
+++ b/features/steps/entry_placement_steps.py
@@ -12,6 +12,7 @@
 
 from dogwoodwheel.entry import adapter_planner
 from dogwoodwheel.entry import datatypes
+from dogwoodwheel.entry import endpoint_waits
 from dogwoodwheel.entry import engine_state
 from dogwoodwheel.entry import fleet_state
 from dogwoodwheel.entry import leader
@@ -332,6 +333,7 @@
         types.SimpleNamespace(
             settings=types.SimpleNamespace(name="entry-1"),
             fleet_state=fleet_state.FleetState(),
+            endpoint_waits=endpoint_waits.EndpointWaits(),
             metrics=types.SimpleNamespace(count_order=lambda kind: None),
         ),
         types.SimpleNamespace(fencing_token=7, may_order=True),
