Keep names of models that no engine has out of heartbeats

Callers saw: an entry that no other entry named to callers any more, for as long as its process ran, though it went on serving. Three requests with long names of models that do not exist were enough, or some hundred with short ones.

Cause: an entry counted requests by whatever model they named, and sent all counts in each heartbeat. A heartbeat that is too large for a datagram is not sent, and peers take an entry without heartbeats for silent.

Only models that the service has are counted, and a name longer than 256 characters is answered 400, since the names of adapters, which are free, are also sent while requests wait or run.

Evidence: both scenarios of kept_connections.feature failed before (the other entry's directory no longer named the entry) and pass now.

--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -120,7 +120,8 @@
         components.retry_budget.record_request(
             admitted.service.name, trio.current_time()
         )
-        if admitted.request_headers.model:
+        engine = admitted.service.engine
+        if engine and admitted.request_headers.model in engine.models:
             components.request_counts.count_request(
                 admitted.request_headers.model, trio.current_time()
             )
--- a/dogwoodwheel/platform/http_headers.py
+++ b/dogwoodwheel/platform/http_headers.py
@@ -50,6 +50,8 @@
         b"x-tenant",
     )
 )
+# Heartbeats carry the names of models and adapters.
+MAX_MODEL_NAME_LENGTH = 256
 # HTTP status of an endpoint that does not hold the requested model.
 MISDIRECTED = 421
 # HTTP status of an endpoint that turns a request away.
@@ -120,7 +122,10 @@
     headers_by_name = {
         name: value.decode("latin-1") for name, value in headers
     }
-    model, _, adapter = headers_by_name.get(b"x-model", "").partition("/")
+    model_and_adapter = headers_by_name.get(b"x-model", "")
+    if len(model_and_adapter) > MAX_MODEL_NAME_LENGTH:
+        raise ValueError("the name of the model is too long")
+    model, _, adapter = model_and_adapter.partition("/")
     raw_prompt_tokens, _, raw_output_tokens = headers_by_name.get(
         b"x-token-count", "0,0"
     ).partition(",")
--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -61,3 +61,12 @@
     When a caller asks at "/draft/a" for a stream of "m0"
     Then its answer is cut after event 3
     And the entry "one" logs a cut answer with its engine and "broken_off"
+
+  Scenario Outline: Callers name models that do not exist
+    When callers ask for <count> models with names of <length> characters
+    Then for 3 s both entries name the entry "one" to callers
+
+    Examples:
+      | count | length |
+      | 3     | 50000  |
+      | 800   | 200    |
--- a/features/steps/kept_connection_steps.py
+++ b/features/steps/kept_connection_steps.py
@@ -2,7 +2,9 @@
 
 import contextlib
 import http.client
+import random
 import socket
+import string
 import threading
 import time
 
@@ -16,6 +18,7 @@
 
 TIMEOUT_S = 5.0
 STOP_S = 10.0
+NAME_CHARACTERS = string.ascii_letters + string.digits
 PLAIN_WORKERS = ("p1", "p2")
 HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 EMPTY_SETTINGS_FRAME = bytes.fromhex("000000040000000000")
@@ -145,3 +148,26 @@
     reply = conn.getresponse()
     reply.body = reply.read()
     return reply
+
+
+@when("callers ask for {count:d} models with names of {length:d} characters")
+def step_unknown_models(context, count, length):
+    drawn = random.Random(0)
+    conn = connection(context, "one")
+    for _ in range(count):
+        model = "".join(drawn.choices(NAME_CHARACTERS, k=length))
+        reply = exchange(
+            conn, "/chat/a", "POST", b"a", X_Model=model, X_Token_Count="1,1"
+        )
+        assert reply.status in (400, 503), reply.status
+    conn.close()
+
+
+@then('for {seconds:d} s both entries name the entry "{name}" to callers')
+def step_named(context, seconds, name):
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        for entry in ("one", "two"):
+            addresses = context.fleet.directory(entry)
+            assert context.fleet.front(name) in addresses, entry
+        time.sleep(0.1)
