Read numbers in headers of callers and endpoints within bounds

What callers saw: a request with `Last-Event-Id: ²` got 400 instead of a stream from its start.

Cause: `str.isdigit` accepts digits that `int` refuses, `int` refuses more than 4,300 digits, and `float` accepts NaN.

Both now go through `decoding.parse_digits`, which takes ASCII digits up to a maximum. `Server-Limit` and `Keep-Alive` were read within bounds already.

--- a/dogwoodwheel/platform/http_headers.py
+++ b/dogwoodwheel/platform/http_headers.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from dogwoodwheel.platform import decoding
 from dogwoodwheel.requests import forwarding
 
 __all__ = [
@@ -27,7 +28,9 @@
 MS_PER_S = 1000.0
 # Maximum number of tokens that a header may state.  The sum over all requests
 # in flight must fit into the 64-bit integers of heartbeats.
-MAX_TOKEN_COUNT = 1_000_000_000
+MAX_TOKENS = 10**9
+MAX_REQUESTS = 10**9
+MAX_EVENT_ID = 10**15
 AUTH_SCHEME = b"token "
 # Headers of a caller's request that are not forwarded, because the entry sets
 # them itself or because they must not reach an endpoint.
@@ -139,13 +142,13 @@
         ),
         model=model,
         adapter=adapter,
-        prompt_tokens=_parse_token_count(raw_prompt_tokens),
-        output_tokens=_parse_token_count(raw_output_tokens or "0"),
+        prompt_tokens=_parse_tokens(raw_prompt_tokens),
+        output_tokens=_parse_tokens(raw_output_tokens or "0"),
         prompt_prefix=_parse_prompt_prefix(
             headers_by_name.get(b"x-prompt-prefix", "")
         ),
         resumes_stream=bool(raw_event_id),
-        last_event_id=int(raw_event_id) if raw_event_id.isdigit() else 0,
+        last_event_id=decoding.parse_digits(raw_event_id, MAX_EVENT_ID, 0),
     )
 
 
@@ -301,17 +304,17 @@
         of slots; None if the header is absent or malformed.
     """
     counts = reply.header(b"x-instance-load").split(b",")
-    if len(counts) != 3 or not all(c.strip().isdigit() for c in counts):
-        return None
-    return tuple(int(count) for count in counts)
+    numbers = tuple(
+        decoding.parse_digits(count.strip(), MAX_REQUESTS) for count in counts
+    )
+    return None if len(numbers) != 3 or None in numbers else numbers
 
 
 def event_id(event):
     """Return the number in an event's ``id`` field; None if it has none."""
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
-            number = line[3:].strip()
-            return int(number) if number.isdigit() else None
+            return decoding.parse_digits(line[3:].strip(), MAX_EVENT_ID)
     return None
 
 
@@ -326,22 +329,22 @@
     if value is None:
         return None
     deadline_s = float(value) / MS_PER_S
-    if math.isnan(deadline_s):
-        raise ValueError("the deadline is not a number")
+    if not math.isfinite(deadline_s):
+        raise ValueError(f"a deadline of {value[:20]} ms is no finite number")
     return deadline_s
 
 
+def _parse_tokens(text):
+    number = decoding.parse_digits(text.strip(), MAX_TOKENS)
+    if number is None:
+        raise ValueError(f"{text[:20]!r} is no number of tokens")
+    return number
+
+
 def _parse_prompt_prefix(value):
     sections = []
     for item in value.split(","):
         name, colon, tokens = item.strip().partition(":")
         if colon:
-            sections.append((name, _parse_token_count(tokens)))
+            sections.append((name, _parse_tokens(tokens)))
     return tuple(sections)
-
-
-def _parse_token_count(value):
-    count = int(value)
-    if not 0 <= count <= MAX_TOKEN_COUNT:
-        raise ValueError(f"a number of tokens is from 0 to {MAX_TOKEN_COUNT}")
-    return count
--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -61,3 +61,10 @@
     When odd rows stand among those of two peers
     Then both peers are contacted, and no other address
     And one line tells of the odd rows, and one more after a change
+
+  Scenario: Odd headers of callers
+    Then each odd header of a caller is refused or counts as absent
+    And 300 random headers of callers are refused or within their bounds
+
+  Scenario: Odd numbers of endpoints
+    Then event ids and loads of odd digits count as absent
--- a/features/steps/odd_rows_steps.py
+++ b/features/steps/odd_rows_steps.py
@@ -10,6 +10,7 @@
 from behave import then
 from behave import when
 import hypothesis
+from hypothesis import strategies
 from loguru import logger
 import msgpack
 import trio.testing
@@ -21,6 +22,7 @@
 from dogwoodwheel.entry import registration_reader
 from dogwoodwheel import exceptions
 from dogwoodwheel.platform import engine_client
+from dogwoodwheel.platform import http_headers
 from dogwoodwheel.platform import operator_table
 from dogwoodwheel.platform import registrations
 from dogwoodwheel.platform import store as store_module
@@ -537,3 +539,81 @@
 def step_peer_lines(context):
     counts = [line["extra"]["count"] for line in context.lines]
     assert counts == [11, 12], context.lines
+
+
+DIGITS = ("9" * 5000, "9" * 300, "²", "٣", "1_0", "-1", "nan", "inf", "1e400")
+
+
+def caller_headers(name, value):
+    """Return a caller's request headers as decoded; None if refused."""
+    headers = [(name, value.encode("latin-1", "replace"))]
+    try:
+        return http_headers.decode(headers)
+    except ValueError as exc:
+        assert len(str(exc)) < 500, str(exc)[:600]
+        return None
+
+
+def check_bounded(found):
+    """Check that numbers of a request can be computed with."""
+    tokens = [found.prompt_tokens, found.output_tokens]
+    tokens += [count for _, count in found.prompt_prefix]
+    assert all(0 <= count <= 10**9 for count in tokens), found
+    assert 0 <= found.last_event_id <= 10**15, found
+    assert found.deadline_s is None or math.isfinite(found.deadline_s), found
+
+
+@then("each odd header of a caller is refused or counts as absent")
+def step_odd_headers(context):
+    for digits in DIGITS:
+        refused = {
+            b"x-token-count": (digits, f"1,{digits}"),
+            b"x-prompt-prefix": (f"ab:{digits}",),
+        }
+        for name, values in refused.items():
+            for value in values:
+                assert caller_headers(name, value) is None, (name, value)
+        found = caller_headers(b"last-event-id", digits)
+        assert found.last_event_id == 0 and found.resumes_stream, found
+        found = caller_headers(b"x-request-deadline", digits)
+        if found is not None:
+            check_bounded(found)
+
+
+@then("{count:d} random headers of callers are refused or within their bounds")
+def step_random_headers(context, count):
+    names = (
+        b"x-token-count",
+        b"x-prompt-prefix",
+        b"last-event-id",
+        b"x-request-deadline",
+        b"authorization",
+        b"host",
+        b"x-model",
+    )
+
+    def check(header):
+        found = caller_headers(*header)
+        if found is not None:
+            check_bounded(found)
+
+    check_random(
+        strategies.tuples(
+            strategies.sampled_from(names),
+            strategies.text("0123456789,:;.-+eEinfa² _/", max_size=12),
+        ),
+        count,
+        check,
+    )
+
+
+@then("event ids and loads of odd digits count as absent")
+def step_odd_numbers(context):
+    for digits in DIGITS:
+        data = digits.encode()
+        assert http_headers.event_id(b"id: " + data + b"\ndata: 1") is None
+        reply = types.SimpleNamespace(header=lambda name: b"1,0," + data)
+        assert http_headers.reported_request_counts(reply) is None
+    assert http_headers.event_id(b"id: 12\ndata: 1") == 12
+    reply = types.SimpleNamespace(header=lambda name: b"3, 0,8")
+    assert http_headers.reported_request_counts(reply) == (3, 0, 8)
