Refuse settings that are no finite numbers, ports or addresses

What operators saw: an entry with a setting such as `bounds.drainMs` of NaN or a port of 70000 started, and failed later or never scanned in time.

The settings file is read within the same bounds as rows; the line that ends the program names the field.

--- a/dogwoodwheel/platform/decoding.py
+++ b/dogwoodwheel/platform/decoding.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     "JsonObject",
+    "MAX_NUMBER",
     "MAX_PORT",
     "MAX_TEXT_LENGTH",
     "error",
--- a/dogwoodwheel/platform/settings_file.py
+++ b/dogwoodwheel/platform/settings_file.py
@@ -5,6 +5,7 @@
 
 from dogwoodwheel.entry import datatypes
 from dogwoodwheel import exceptions
+from dogwoodwheel.platform import decoding
 
 __all__ = ["path", "read"]
 
@@ -72,30 +73,49 @@
 
 
 def _build_settings(fields):
-    first_port = int(fields["portRange"].split(",")[0])
+    first_port = decoding.parse_digits(
+        fields["portRange"].partition(",")[0].strip(),
+        decoding.MAX_PORT - METRICS_PORT_OFFSET,
+    )
+    if not first_port:
+        raise ValueError("field portRange is no range of ports")
     ip = fields["ip"]
     return datatypes.Settings(
         name=fields["node"],
         zone=fields["zone"],
         region=fields["region"],
-        front=fields["listen.front"],
-        readiness=fields["listen.readiness"],
-        directory=fields["listen.directory"],
+        front=_address(fields, "listen.front"),
+        readiness=_address(fields, "listen.readiness"),
+        directory=_address(fields, "listen.directory"),
         peers=f"{ip}:{first_port + PEERS_PORT_OFFSET}",
         metrics=f"{ip}:{first_port + METRICS_PORT_OFFSET}",
-        store=fields["platform.address"],
+        store=_address(fields, "platform.address"),
         first_start=fields.get("bootstrap") == "true",
         drain_s=_ms_field_in_s(fields, "bounds.drainMs", 2000),
-        grace_s=float(fields.get("bounds.graceS", 8)),
+        grace_s=_number(fields, "bounds.graceS", 8),
         lease_s=_ms_field_in_s(fields, "bounds.leaseMs", 3000),
-        retry_ratio=float(fields.get("bounds.retryBudgetRatio", 0.2)),
-        retry_slack=float(fields.get("bounds.budgetSlack", 50)),
-        retry_window_s=float(fields.get("bounds.budgetWindowS", 10)),
-        quota_slack=float(fields.get("bounds.quotaSlack", 0)),
-        directory_ttl_s=float(fields.get("bounds.ttl_max_s", 5)),
-        link_mbps=float(fields.get("limits.linkMbps", 0)),
+        retry_ratio=_number(fields, "bounds.retryBudgetRatio", 0.2),
+        retry_slack=_number(fields, "bounds.budgetSlack", 50),
+        retry_window_s=_number(fields, "bounds.budgetWindowS", 10),
+        quota_slack=_number(fields, "bounds.quotaSlack", 0),
+        directory_ttl_s=_number(fields, "bounds.ttl_max_s", 5),
+        link_mbps=_number(fields, "limits.linkMbps", 0),
     )
 
 
+def _address(fields, name):
+    value = fields[name]
+    if not decoding.is_address(value):
+        raise ValueError(f"field {name} is {value[:50]!r}, no IP:PORT")
+    return value
+
+
+def _number(fields, name, default):
+    value = float(fields.get(name, default))
+    if not 0 <= value <= decoding.MAX_NUMBER:
+        raise ValueError(f"field {name} is {value}, no number of at least 0")
+    return value
+
+
 def _ms_field_in_s(fields, name, default_ms):
-    return float(fields.get(name, default_ms)) / MS_PER_S
+    return _number(fields, name, default_ms) / MS_PER_S
--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -68,3 +68,16 @@
 
   Scenario: Odd numbers of endpoints
     Then event ids and loads of odd digits count as absent
+
+  Scenario Outline: An odd setting is named
+    Then the settings with "<field>" as "<value>" are refused, naming it
+
+    Examples:
+      | field             | value        |
+      | portRange         | 70000,70010  |
+      | portRange         | ²,9          |
+      | listen.front      | 127.0.0.1:0  |
+      | platform.address  | store        |
+      | bounds.drainMs    | nan          |
+      | bounds.graceS     | 1e400        |
+      | bounds.leaseMs    | -1           |
--- a/features/steps/odd_rows_steps.py
+++ b/features/steps/odd_rows_steps.py
@@ -4,6 +4,8 @@
 import dataclasses
 import json
 import math
+import pathlib
+import tempfile
 import tracemalloc
 import types
 
@@ -25,6 +27,7 @@
 from dogwoodwheel.platform import http_headers
 from dogwoodwheel.platform import operator_table
 from dogwoodwheel.platform import registrations
+from dogwoodwheel.platform import settings_file
 from dogwoodwheel.platform import store as store_module
 from features import entry_builders
 from features import odd_values
@@ -617,3 +620,30 @@
     assert http_headers.event_id(b"id: 12\ndata: 1") == 12
     reply = types.SimpleNamespace(header=lambda name: b"3, 0,8")
     assert http_headers.reported_request_counts(reply) == (3, 0, 8)
+
+
+@then('the settings with "{field}" as "{value}" are refused, naming it')
+def step_odd_setting(context, field, value):
+    fields = {
+        "node": "one",
+        "ip": "127.0.0.1",
+        "zone": "zone-a",
+        "region": "region",
+        "listen.front": "127.0.0.1:1",
+        "listen.readiness": "127.0.0.1:2",
+        "listen.directory": "127.0.0.1:3",
+        "portRange": "7600,7615",
+        "platform.address": "127.0.0.1:4",
+    }
+    with tempfile.TemporaryDirectory() as folder:
+        file = pathlib.Path(folder) / "settings"
+        file.write_text("".join(f"{k}={v}\n" for k, v in fields.items()))
+        assert settings_file.read(file).peers == "127.0.0.1:7600"
+        fields[field] = value
+        file.write_text("".join(f"{k}={v}\n" for k, v in fields.items()))
+        try:
+            settings_file.read(file)
+        except exceptions.SettingsError as exc:
+            assert field in str(exc), exc
+        else:
+            raise AssertionError(f"{field}={value} was accepted")
