Refuse rows of tables that are nested too deeply

What operators saw: one such row ended each coordinator that scanned the table (RecursionError), as for registrations. It is now malformed like any other row: a scan leaves it out with a line, a read is refused.

--- a/dogwoodwheel/platform/tables.py
+++ b/dogwoodwheel/platform/tables.py
@@ -137,7 +137,10 @@
 def _decode_row(row):
     if row.value is None:
         return table_store.Row(row.table, row.key, 0, "", {})
-    body = json.loads(row.value)
+    try:
+        body = json.loads(row.value)
+    except RecursionError:
+        raise ValueError("nested too deeply") from None
     if not isinstance(body, dict) or not isinstance(
         body.get(VALUE_FIELD), dict
     ):
--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -69,6 +69,10 @@
   Scenario: Odd numbers of endpoints
     Then event ids and loads of odd digits count as absent
 
+  Scenario: Odd rows of the coordinators' tables
+    When odd rows stand in a table beside a sound one
+    Then a scan finds the sound one, and a read of each other is refused
+
   Scenario Outline: An odd setting is named
     Then the settings with "<field>" as "<value>" are refused, naming it
 
--- a/features/steps/odd_rows_steps.py
+++ b/features/steps/odd_rows_steps.py
@@ -29,6 +29,7 @@
 from dogwoodwheel.platform import registrations
 from dogwoodwheel.platform import settings_file
 from dogwoodwheel.platform import store as store_module
+from dogwoodwheel.platform import tables
 from features import entry_builders
 from features import odd_values
 
@@ -647,3 +648,30 @@
             assert field in str(exc), exc
         else:
             raise AssertionError(f"{field}={value} was accepted")
+
+
+@when("odd rows stand in a table beside a sound one")
+def step_table(context):
+    values = list(odd_values.BYTES.values())
+    context.odd = [row(f"odd-{n}", value) for n, value in enumerate(values)]
+    context.sound = row("sound", b'{"change": "a", "value": {"state": 1}}')
+
+
+@then("a scan finds the sound one, and a read of each other is refused")
+def step_table_scan(context):
+    async def scan(table, timeout_s):
+        return store_module.Rows((*context.odd, context.sound), 1)
+
+    async def read(table, key, timeout_s):
+        return next(r for r in context.odd if r.key == key)
+
+    store = types.SimpleNamespace(scan=scan, read=read)
+    table = tables.PlatformTableStore(store)
+    found = trio.run(table.scan, "t")
+    assert [r.value for r in found] == [{"state": 1}], found
+    for odd in context.odd:
+        try:
+            trio.run(table.read, "t", odd.key)
+        except exceptions.PlatformError:
+            continue
+        raise AssertionError(f"{odd.value[:40]} was accepted")
