--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -11,10 +11,12 @@
 import trio
 import trio.testing
 
+from dogwoodwheel.engines import http
 from dogwoodwheel.entry import endpoint_selection
 from dogwoodwheel.entry import membership
 from dogwoodwheel.entry import prompt_guard
 from dogwoodwheel.platform import http_headers
+from dogwoodwheel.platform import store as store_module
 from features import entry_builders
 from features import notice_builders
 from features.standins import process
@@ -197,7 +199,8 @@
         context.peer, play.endpoints.values(), play.now, 1
     )
     beat = entry_builders.heartbeat(leaving=report(play.entry))
-    member = membership.Member(context.peer, None, "two")
+    store = store_module.Store("store:1", http.HttpClient())
+    member = membership.Member(context.peer, store, "two")
     play.at_now(member.receive_heartbeat, None, beat)
 
 
