Expect odd rows to be refused, and failed tasks to start again

Two scenarios expected that an odd row of the lease or of a peer fails a task, which is started again.

--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -44,12 +44,17 @@
   Scenario Outline: A row of the store holds what no entry writes
     When the row "<row>" of the table "<table>" is overwritten for 2 s
     Then the kept connection gets 200
-    And the entry "one" has counted an error of the task "<task>"
+    And the entry "one" logs "<line>"
+    And no task of the entry "one" has failed
 
     Examples:
-      | table        | row    | task       |
-      | dogwoodwheel | leader | lease      |
-      | entries      | other  | membership |
+      | table        | row    | line                                |
+      | dogwoodwheel | leader | lease: malformed row                |
+      | entries      | other  | membership: malformed rows          |
+
+  Scenario: A background task fails
+    When a background task fails twice
+    Then it is started again each time, and its errors are counted
 
   Scenario: A request outlasts the time in which its entry must stop
     Given plain workers answer after 6 s
