Give a holder no lease over another one's term after a restore

A holder that renewed in the restored store wrote over the row whoever had written it; an absent row freed the lease at once for a fleet that had started for the first time, also if only the copy lacked it; and a copy that named the entry itself as the holder let it order again without the gap.

A row that another entry wrote in this era ends the lease; an absent row frees it only before any lease was known and while the store has not been restored; the gap is left out only where a row of this era names the entry.

--- a/dogwoodwheel/entry/lease.py
+++ b/dogwoodwheel/entry/lease.py
@@ -125,6 +125,10 @@
         # this entry learned of that version.  If the row is absent, the
         # start of the store's era stands for its version.
         self._newest_known_version = (-1, 0.0)
+        # Whether this entry knows that there was a lease, and the era of the
+        # store in which it first asked for it.
+        self._has_known_lease = False
+        self._first_era = None
         # Time until which this entry may have sent orders, by `clock`.
         self._last_held_until = -math.inf
         # Name of the peer that claimed the lease last.
@@ -239,7 +243,7 @@
         expected = self._expected_row()
         if self._is_before_restore(expected):
             expected = await self._store.read(TABLE, ROW_KEY, CALL_TIMEOUT_S)
-            if not self.is_held:
+            if not self.is_held or self._is_held_by_other(expected):
                 raise exceptions.ConflictError(
                     "the store was restored, and the lease has ended"
                 )
@@ -263,6 +267,15 @@
         self._extend_until(began_at + VALIDITY_S)
         await trio.sleep(RENEWAL_INTERVAL_S)
 
+    def _is_held_by_other(self, row):
+        """Return whether another entry wrote a row in this era."""
+        holder_info = _decode_holder_info(row)
+        return (
+            row.version > 0
+            and self._is_written_in_this_era(row, holder_info)
+            and holder_info.get("holder") != self._name
+        )
+
     def _is_before_restore(self, row):
         """Return whether the store was restored since a row was read."""
         return versions.era_of(row.version) < self._store.era
@@ -318,6 +331,9 @@
             return
         row = await self._store.read(TABLE, ROW_KEY)
         now = self._clock()
+        if self._first_era is None:
+            self._first_era = self._store.era
+        self._has_known_lease = self._has_known_lease or row.version > 0
         known_version = row.version or versions.era_start(self._store.era)
         if known_version != self._newest_known_version[0]:
             self._newest_known_version = (known_version, now)
@@ -349,21 +365,24 @@
         unless the fleet has just started for the first time.
         """
         if not row.version:
-            return self._first_start
+            return (
+                self._first_start
+                and not self._has_known_lease
+                and self._store.era == self._first_era
+            )
         return holder_info.get("era", 0) == versions.era_of(row.version)
 
     async def _acquire(self, row, holder_info):
         began_at = self._clock()
         self._term_id = uuid.uuid4().hex
         holder = holder_info.get("holder", "")
+        tells_holder = self._is_written_in_this_era(row, holder_info)
         is_retake = holder_info.get("before") == self._name or (
             # After a restore, the row may lack the terms in between.
-            holder != self._name
+            not (tells_holder and holder == self._name)
             and began_at < self._last_held_until + self._order_gap_s
         )
-        if self._last_claimant and not self._is_written_in_this_era(
-            row, holder_info
-        ):
+        if self._last_claimant and not tells_holder:
             holder = self._last_claimant
         self._previous_holder = holder
         acquired_row = await self._write_row(row)
@@ -389,6 +408,7 @@
             if claim and claim[0] and claim[1] > self._newest_known_version[0]:
                 self._newest_known_version = (claim[1], self._clock())
                 self._last_claimant = name
+                self._has_known_lease = True
 
     def _peer_holds_lease(self):
         claims = [
