Take the era of the store from its own replies only

Found by review: one heartbeat with a wrong era (8000 of 1) made every real reply one of an earlier era. Entries repeated the era to each other, so the fleet would have lost the store until all entries were restarted. A wrong version of the operators' rows made entries read the table again and again.

What a peer names is now a reason to read the table once. The watcher of the operators' table keeps its state if its task is started again, as a zone that is evacuated would otherwise be forgotten around a restore.

--- a/dogwoodwheel/entry/membership.py
+++ b/dogwoodwheel/entry/membership.py
@@ -201,7 +201,7 @@
         """
         components = self.components
         now = trio.current_time()
-        self.store.observe_era(heartbeat.store_era)
+        self.store.hint_era(heartbeat.store_era)
         if components.fleet_state.config is not None:
             components.quotas.record_peer_usage(
                 previous.spent if previous else None,
--- a/dogwoodwheel/entry/watchers.py
+++ b/dogwoodwheel/entry/watchers.py
@@ -12,7 +12,7 @@
 from dogwoodwheel.platform import versions
 from dogwoodwheel.wire import messages
 
-__all__ = ["EndpointWatcher", "watch_operator"]
+__all__ = ["EndpointWatcher", "OperatorWatcher"]
 
 # Maximum duration of a long poll for changes of the operator's table.  This
 # limits how long a connection that failed without a reset goes unnoticed.
@@ -46,22 +46,6 @@
 MAX_RETRY_PAUSE_S = 0.8
 
 
-async def watch_operator(store, fleet_state, heartbeats):
-    """Watch the configuration and the evacuated zones until cancelled.
-
-    Parameters
-    ----------
-    store : dogwoodwheel.platform.store.Store
-    fleet_state : dogwoodwheel.entry.fleet_state.FleetState
-        Its configuration and evacuated zones are updated.
-    heartbeats : dogwoodwheel.entry.heartbeats.HeartbeatExchange
-    """
-    watcher = _OperatorWatcher(store, fleet_state, heartbeats)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(watcher.compare_with_peers)
-        await _repeat("operator", store, watcher.scan_or_poll)
-
-
 class EndpointWatcher:
     """Watches the registrations of the endpoints.
 
@@ -98,7 +82,11 @@
 
     def receive_scan(self, msg):
         """Apply a scan of a peer if it is newer than the last applied one."""
-        self._store.observe_era(versions.era_of(msg.version))
+        era = versions.era_of(msg.version)
+        self._store.hint_era(era)
+        if era != self._store.era:
+            # Only the store itself can tell whether it was restored.
+            return
         rows = [
             store_module.Row(registrations.TABLE, *row) for row in msg.rows
         ]
@@ -206,8 +194,16 @@
             pause_s = min(MAX_RETRY_PAUSE_S, 2 * pause_s)
 
 
-class _OperatorWatcher:
-    """Reads the operator's table and applies changed rows."""
+class OperatorWatcher:
+    """Watches the configuration and the evacuated zones.
+
+    Parameters
+    ----------
+    store : dogwoodwheel.platform.store.Store
+    fleet_state : dogwoodwheel.entry.fleet_state.FleetState
+        Its configuration and evacuated zones are updated.
+    heartbeats : dogwoodwheel.entry.heartbeats.HeartbeatExchange
+    """
 
     def __init__(self, store, fleet_state, heartbeats):
         self.store = store
@@ -220,8 +216,17 @@
         self.unconfirmed_zones = set()
         self.unconfirmed_until = 0.0
         self._scanned_era = 0
+        # Newest versions named by peers for which the table was read again.
+        self._compared_versions = (0, 0)
         self._poll_scope = trio.CancelScope()
 
+    async def run(self):
+        """Read the whole table, and then its changes, until cancelled."""
+        self.store_version = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.compare_with_peers)
+            await _repeat("operator", self.store, self.scan_or_poll)
+
     async def scan_or_poll(self):
         """Read the whole table first, and in later calls only its changes."""
         if self.store_version is None:
@@ -314,9 +319,23 @@
                 previous_version != self.store_version
             ):
                 continue
-            newest_version = self.fleet_state.peer_operator_version
-            known_era = versions.era_of(previous_version)
-            if previous_version < newest_version or known_era < self.store.era:
+            named_versions = (
+                max(self.store.hinted_era, self.store.era),
+                self.fleet_state.peer_operator_version,
+            )
+            known_versions = (
+                versions.era_of(previous_version),
+                previous_version,
+            )
+            is_behind = any(
+                named > max(known, compared)
+                for named, known, compared in zip(
+                    named_versions, known_versions, self._compared_versions
+                )
+            )
+            if is_behind:
+                # Once is enough, also if what a peer names is wrong.
+                self._compared_versions = named_versions
                 self._poll_scope.cancel()
 
     def _apply_rows(self, rows):
--- a/dogwoodwheel/platform/store.py
+++ b/dogwoodwheel/platform/store.py
@@ -99,8 +99,10 @@
     last_reply_at : float
         Time of the store's last reply, seconds of trio's clock.
     era : int
-        Latest known era of the store; rises when it is restored.  0 if
-        unknown.
+        Latest era in which the store has replied; rises when it is
+        restored.  0 if unknown.
+    hinted_era : int
+        Latest era that a peer has named.
     """
 
     def __init__(self, address, http_client):
@@ -108,6 +110,7 @@
         self.call_count = 0
         self.last_reply_at = -math.inf
         self.era = 0
+        self.hinted_era = 0
         self._http_client = http_client
         self._era_risen = trio.Event()
 
@@ -117,15 +120,7 @@
         return min(trio.current_time() - self.last_reply_at, MAX_REPLY_AGE_S)
 
     def observe_era(self, era):
-        """Record an era that a reply of the store, or a peer, has named.
-
-        Raises
-        ------
-        ValueError
-            If it is no whole number from 0 to `MAX_ERA`.
-        """
-        if not isinstance(era, int) or not 0 <= era <= versions.MAX_ERA:
-            raise ValueError(f"{era!r} is no era; upgrade the peer")
+        """Record the era in which the store has replied."""
         if era <= self.era:
             return
         if self.era:
@@ -134,6 +129,21 @@
         self._era_risen.set()
         self._era_risen = trio.Event()
 
+    def hint_era(self, era):
+        """Record an era that a peer has named.
+
+        Only the store's own replies show the era in which it is; what a peer
+        names is a reason to ask the store.
+
+        Raises
+        ------
+        ValueError
+            If it is no whole number from 0 to `versions.MAX_ERA`.
+        """
+        if not isinstance(era, int) or not 0 <= era <= versions.MAX_ERA:
+            raise ValueError(f"{era!r} is no era; upgrade the peer")
+        self.hinted_era = max(self.hinted_era, era)
+
     async def wait_for_era_after(self, era):
         """Wait until the store is known to be in a later era."""
         while self.era <= era:
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -170,13 +170,11 @@
         endpoint_watcher = watchers.EndpointWatcher(
             self.store, fleet_state, heartbeats, self.cfg
         )
+        operator_watcher = watchers.OperatorWatcher(
+            self.store, fleet_state, heartbeats
+        )
         tasks = {
-            "operator": (
-                watchers.watch_operator,
-                self.store,
-                fleet_state,
-                heartbeats,
-            ),
+            "operator": (operator_watcher.run,),
             "endpoints": (endpoint_watcher.run,),
             "heartbeats": (heartbeats.run,),
             "membership": (self.member.run,),
--- a/features/restored_fleet.py
+++ b/features/restored_fleet.py
@@ -53,17 +53,16 @@
             self.store, self.fleet_state, self.heartbeats, self.cfg
         )
 
+        self.operator_watcher = watchers.OperatorWatcher(
+            self.store, self.fleet_state, self.heartbeats
+        )
+
     async def run(self):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.heartbeats.run)
             nursery.start_soon(self.member.run)
             nursery.start_soon(self.endpoint_watcher.run)
-            nursery.start_soon(
-                watchers.watch_operator,
-                self.store,
-                self.fleet_state,
-                self.heartbeats,
-            )
+            nursery.start_soon(self.operator_watcher.run)
 
     def usable(self):
         """Return the names of the endpoints that may get requests."""
@@ -170,6 +169,10 @@
 
     async def _rewrite(self, rewrite_s):
         await trio.sleep(rewrite_s)
+        self.rewrite()
+
+    def rewrite(self):
+        """Write again what endpoints wrote, and remove those that left."""
         for row in self.rows.all(registrations.TABLE):
             if row.key not in self.registered:
                 store_replay.write(
--- a/features/steps/entry_fleets_steps.py
+++ b/features/steps/entry_fleets_steps.py
@@ -65,7 +65,9 @@
         self.reply_age_s = 0.0
         self.era = 0
 
-    def observe_era(self, era):
+        self.hinted_era = 0
+
+    def hint_era(self, era):
         """Do nothing, as this store is never restored."""
 
     async def scan(self, table, timeout_s=1.0):
@@ -126,12 +128,10 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.heartbeats.run)
                 nursery.start_soon(self.endpoints.run)
-                nursery.start_soon(
-                    watchers.watch_operator,
-                    self.client,
-                    self.known,
-                    self.heartbeats,
+                watcher = watchers.OperatorWatcher(
+                    self.client, self.known, self.heartbeats
                 )
+                nursery.start_soon(watcher.run)
 
 
 class Play:
--- a/features/steps/entry_lease_steps.py
+++ b/features/steps/entry_lease_steps.py
@@ -145,7 +145,7 @@
                 )
                 for other in self.entries:
                     if other is not one and other.hears:
-                        other.store.observe_era(heartbeat.store_era)
+                        other.store.hint_era(heartbeat.store_era)
                         other.heartbeats.peers[one.name] = (
                             heartbeats_module.Peer(
                                 heartbeat, trio.current_time()
