Use no endpoint that has left and that a restored store lists

Entries remember for ten minutes which endpoints have left. One that a copy lists gets no requests until a scan that began 10 s later, or 4 s for one that was unknown, still finds it, or until it registers again; each restore counts anew. The platform removes a row that is not written for three heartbeats, 3.6 s, so the 2.5 s of before were too short; the scenario of an endpoint that does not write again therefore allows 6 s instead of 4 s.

--- a/dogwoodwheel/entry/fleet_state.py
+++ b/dogwoodwheel/entry/fleet_state.py
@@ -17,6 +17,14 @@
 # outage of its store; 0.5 s is added for the interval between scans.  After
 # the store was restored from a copy, registrations are removed again, too.
 REREGISTRATION_S = 2.5
+# Time for which an endpoint that a restored store lists, and that was unknown
+# before, gets no requests.  The platform removes registrations that are not
+# written for three heartbeats, 1.2 s each.
+UNKNOWN_HOLD_S = 4.0
+# The same for an endpoint that has left before the store was restored.
+LEFT_HOLD_S = 10.0
+# Time for which an entry remembers which endpoints have left.
+LEFT_KEPT_S = 600.0
 # Upper limit of the reported age of the last scan.  Also reported before the
 # first scan.
 MAX_SCAN_AGE_S = 1e6
@@ -40,8 +48,10 @@
         at which that scan began; infinite while it is registered.
     row_version : int
         Version of the registration's row in the platform's store.
-    usable_at : float
-        Time of trio's clock before which the endpoint gets no requests.
+    unconfirmed_until : float
+        The endpoint gets no requests before a scan that began at this time
+        of trio's clock, or later, finds it; negative infinity for an
+        endpoint that is known to be there.
     """
 
     endpoint: datatypes.Endpoint
@@ -49,7 +59,7 @@
     first_seen_at: float = 0.0
     missing_at: float = math.inf
     row_version: int = 0
-    usable_at: float = -math.inf
+    unconfirmed_until: float = -math.inf
 
 
 def merge_scan(
@@ -58,6 +68,7 @@
     now,
     last_scan_at,
     store_was_restored=False,
+    left_endpoints=frozenset(),
 ):
     """Return the endpoints to track after a scan of the registrations.
 
@@ -72,6 +83,8 @@
         began.
     store_was_restored : bool
         Whether the store was restored from a copy since the previous scan.
+    left_endpoints : container of (str, int)
+        Names and start times, milliseconds, of endpoints that have left.
 
     Returns
     -------
@@ -93,15 +106,21 @@
     for name, (endpoint, row_version) in registered_endpoints.items():
         previous = tracked_endpoints.get(name)
         if previous is not None and previous.row_version == row_version:
+            unconfirmed_until = previous.unconfirmed_until
+            if unconfirmed_until <= now:
+                unconfirmed_until = -math.inf
             merged_endpoints[name] = dataclasses.replace(
-                previous, missing_at=math.inf
+                previous,
+                missing_at=math.inf,
+                unconfirmed_until=unconfirmed_until,
             )
             continue
         registered = TrackedEndpoint(
             endpoint, now + endpoint.cold_s, now, math.inf, row_version
         )
         if store_was_restored:
-            registered = _merge_copied(previous, registered)
+            has_left = (name, endpoint.started_ms) in left_endpoints
+            registered = _merge_copied(previous, registered, has_left)
         merged_endpoints[name] = registered
     store_was_unavailable = (
         store_was_restored or now - last_scan_at > MAX_SCAN_INTERVAL_S
@@ -123,7 +142,7 @@
     return merged_endpoints
 
 
-def _merge_copied(previous, registered):
+def _merge_copied(previous, registered, has_left):
     """Return the endpoint to track after its row was restored from a copy.
 
     Parameters
@@ -132,17 +151,21 @@
         The endpoint as tracked before the store was restored.
     registered : TrackedEndpoint
         The endpoint as registered in the restored store.
+    has_left : bool
+        Whether the endpoint has left before.
 
     Notes
     -----
     An endpoint that was unknown, because it had left or has just started,
     gets no requests until it registers again, or until it could have been
-    removed again.  An endpoint that was draining, or that has restarted
-    since, is not what the copy says.
+    removed again and a later scan still finds it.  An endpoint that was
+    draining, or that has restarted since, is not what the copy says.
     """
-    if previous is None:
-        usable_at = registered.first_seen_at + REREGISTRATION_S
-        return dataclasses.replace(registered, usable_at=usable_at)
+    if previous is None or previous.unconfirmed_until > -math.inf:
+        hold_s = LEFT_HOLD_S if has_left else UNKNOWN_HOLD_S
+        return dataclasses.replace(
+            registered, unconfirmed_until=registered.first_seen_at + hold_s
+        )
     copied_at, known_at = (
         tracked.endpoint.started_ms for tracked in (registered, previous)
     )
@@ -187,6 +210,7 @@
         self.operator_row = 0
         self.peer_operator_version = 0
         self.holdings = {}
+        self._left_endpoints = {}
         self.leaving = leaving_module.LeavingEndpoints(on_leaving)
         self._loading_models = {}
         self._changed = trio.Event()
@@ -229,16 +253,30 @@
         store_was_restored : bool
             As for `merge_scan`.
         """
+        previous_endpoints = self.endpoints
         self.endpoints = merge_scan(
-            self.endpoints,
+            previous_endpoints,
             registered_endpoints,
             scan_began_at,
             self.scanned_at,
             store_was_restored,
+            self._left_endpoints,
         )
+        self._record_left_endpoints(previous_endpoints, scan_began_at)
         self.scanned_at = scan_began_at
         self.notify_change()
 
+    def _record_left_endpoints(self, previous_endpoints, now):
+        """Remember for some time which endpoints are no longer tracked."""
+        for name in previous_endpoints.keys() - self.endpoints.keys():
+            started_ms = previous_endpoints[name].endpoint.started_ms
+            self._left_endpoints[name, started_ms] = now
+        self._left_endpoints = {
+            incarnation: left_at
+            for incarnation, left_at in self._left_endpoints.items()
+            if now - left_at < LEFT_KEPT_S
+        }
+
     def update_holdings(self, endpoint, models, reported_at, loading_model=""):
         """Record the models of an engine, unless a newer report is known.
 
@@ -316,7 +354,7 @@
         endpoint = tracked_endpoint.endpoint
         return (
             endpoint.ready
-            and tracked_endpoint.usable_at <= trio.current_time()
+            and tracked_endpoint.unconfirmed_until == -math.inf
             and endpoint.zone not in self.evacuated_zones
             and not self.leaving.is_leaving(endpoint)
         )
--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -22,6 +22,16 @@
     When an endpoint leaves, and the store is restored from 4 s before
     Then no entry uses that endpoint later than 2 s after it drained
 
+  Scenario: An endpoint has left, and two copies list it
+    Given 3 entries that follow the store
+    When an endpoint leaves, and two restores in a row list it
+    Then no entry uses that endpoint later than 2 s after it drained
+
+  Scenario: An endpoint has left, a copy lists it, and the store goes away
+    Given 3 entries that follow the store
+    When an endpoint leaves, and the store goes away after it was restored
+    Then no entry uses that endpoint later than 2 s after it drained
+
   Scenario: An endpoint has registered since the copy was made
     Given 3 entries that follow the store
     When an endpoint registers, and the store is restored from 4 s before
@@ -35,7 +45,7 @@
   Scenario: An endpoint that lapsed before is listed and does not write again
     Given 3 entries that follow the store
     When a silent endpoint is listed after the store is restored
-    Then all entries use that endpoint within 4 s
+    Then all entries use that endpoint within 6 s
 
   Scenario: The operator's versions are given out again
     Given 4 entries that follow the store
@@ -74,10 +84,11 @@
     And the other endpoints are used all the time
     And all entries have the later one within 1 s and never an older one
 
-  Scenario: A peer names an era that is none
+  Scenario: A peer names wrong eras and versions
     Given 2 entries that follow the store
-    When a peer names the eras "nan", "-1" and "10000000"
+    When a peer names the eras "nan", "-1", "8000" and "10000000"
     Then the entries follow the store as before
+    And each entry calls the store less than 4 times a second
 
   Scenario: The store is asked no more often than before
     Given 4 entries that follow the store
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -111,6 +111,39 @@
     play(context, story, 6.0)
 
 
+@when("an endpoint leaves, and two restores in a row list it")
+def step_leaves_twice(context):
+    async def story(fleet):
+        await trio.sleep(4.0)
+        fleet.unregister(WATCHED)
+        context.drained_at = trio.current_time()
+        await trio.sleep(2.0)
+        await fleet.restore(4.0, rewrite_s=60.0)
+        await trio.sleep(1.8)
+        await fleet.restore(1.0, rewrite_s=1.8)
+
+    play(context, story, 6.0)
+
+
+@when("an endpoint leaves, and the store goes away after it was restored")
+def step_leaves_away(context):
+    async def story(fleet):
+        await trio.sleep(4.0)
+        fleet.unregister(WATCHED)
+        context.drained_at = trio.current_time()
+        await trio.sleep(2.0)
+        await fleet.restore(4.0, rewrite_s=60.0)
+        await trio.sleep(1.0)
+        for entry in fleet.entries:
+            entry.http_client.is_cut = True
+        await trio.sleep(5.0)
+        for entry in fleet.entries:
+            entry.http_client.is_cut = False
+        fleet.rewrite()
+
+    play(context, story, 3.0)
+
+
 @when(
     "replies take {delay_s:g} s while the store is restored from "
     "{age_s:g} s before"
@@ -322,14 +355,18 @@
     assert context.usable == OTHERS, context.usable
 
 
-@when('a peer names the eras "nan", "-1" and "10000000"')
+@when('a peer names the eras "nan", "-1", "8000" and "10000000"')
 def step_odd_eras(context):
     async def story(fleet):
         peer = fleet.entries[1].member
-        for era in (math.nan, -1, 10000000):
+        state = peer.components.fleet_state
+        operator_row = state.operator_row
+        state.operator_row = 2**60
+        for era in (math.nan, -1, 8000, 10000000):
             peer.store.era = era
             await peer.components.heartbeats.send_heartbeat()
         peer.store.era = 1
+        state.operator_row = operator_row
         await trio.sleep(1.0)
         fleet.configure(5)
         context.configured_at = trio.current_time()
