Check which endpoints leave before a heartbeat is used

What callers would see: an entry answers every request 500, for as long as a peer's notice is kept, after one heartbeat whose start of a leaving endpoint is no number. The start was kept as it came, and each selection compares it.

Cause: the check of heartbeats and the notice of leaving endpoints were written side by side, and the check did not learn the new field; the era was checked where it is used only. Both are in the table of checks now. Found by reading the change; the scenario "Odd datagrams" failed before with the three rows that are new. A comment that a later change made wrong goes.

--- a/dogwoodwheel/entry/fleet_state.py
+++ b/dogwoodwheel/entry/fleet_state.py
@@ -14,8 +14,7 @@
 # have been unavailable.
 MAX_SCAN_INTERVAL_S = 2.0
 # The platform states that endpoints register again within 2 s after an
-# outage of its store; 0.5 s is added for the interval between scans.  After
-# the store was restored from a copy, registrations are removed again, too.
+# outage of its store; 0.5 s is added for the interval between scans.
 REREGISTRATION_S = 2.5
 # Time for which an endpoint that a restored store lists, and that was unknown
 # before, gets no requests.  The platform removes registrations that are not
--- a/dogwoodwheel/entry/heartbeat_fields.py
+++ b/dogwoodwheel/entry/heartbeat_fields.py
@@ -100,6 +100,14 @@
     )
 
 
+def _are_integers(value):
+    return (
+        type(value) is dict
+        and _have_types(value, TEXT_TYPES)
+        and _have_types(value.values(), INTEGER_TYPES)
+    )
+
+
 def _are_addresses(value):
     return isinstance(value, tuple) and all(map(decoding.is_address, value))
 
@@ -195,6 +203,7 @@
     "store_age_s": _is_age,
     "scan_age_s": _is_age,
     "operator_row": _is_integer,
+    "store_era": _is_integer,
     "link_mbps": _is_number,
     "known": _are_addresses,
     "load": _are_loads,
@@ -207,6 +216,7 @@
     "sound_sections": _are_numbers,
     "earlier_quarantines": _are_numbers,
     "limits": _are_limits,
+    "leaving": _are_integers,
 }
 SCAN_CHECKS = {
     "name": _is_name,
--- a/features/odd_values.py
+++ b/features/odd_values.py
@@ -182,6 +182,9 @@
     "holdings as a list": ("holdings", ()),
     "holdings of no age": ("holdings", {"e1": (math.nan, {}, "")}),
     "limits as a list": ("limits", (1,)),
+    "start of a leaving endpoint as a text": ("leaving", {"p1": "x"}),
+    "leaving as a list": ("leaving", (1,)),
+    "era as a text": ("store_era", "2"),
     "sections as a text": ("sound_sections", "ab"),
     "nested id": ("id", _nest(400)),
 }
