Hold crashes of endpoints against whole requests, too

Cause: crashes were held against sections of prompts only, so nothing was remembered of a request without a prompt. The crashes of one with a prompt were held against a section that sound requests share.

One detector now holds a crash against all that a request is made of: the shared sections of its prompt and, last, the whole, named by a digest. Of parts that explain the crashes equally well the last is quarantined. A crash counts fully against the only request in flight that has not been answered since, so that sound ones beside a deadly one are not refused for two crashes by chance, and a request that was answered before needs twice the evidence.

Logs: `request` in `attempt` lines, `query of death: refused`; `part` and `parts` take the place of `section` and `sections`, which the step of query_of_death.feature reads by its new name; it checks the same.

Ruled out: late news at peers (there was none to tell), and load (one or two requests in flight at each crash, this one always among them).

--- a/dogwoodwheel/entry/components.py
+++ b/dogwoodwheel/entry/components.py
@@ -5,12 +5,12 @@
 import trio
 
 from dogwoodwheel.entry import cold_start
+from dogwoodwheel.entry import crash_guard
 from dogwoodwheel.entry import endpoint_waits as endpoint_waits_module
 from dogwoodwheel.entry import fleet_state as fleet_state_module
 from dogwoodwheel.entry import heartbeats as heartbeats_module
 from dogwoodwheel.entry import load_balancing
 from dogwoodwheel.entry import outliers as outliers_module
-from dogwoodwheel.entry import prompt_guard
 from dogwoodwheel.entry import query_of_death
 from dogwoodwheel.entry import quota as quota_module
 from dogwoodwheel.entry import rate_limits
@@ -38,7 +38,7 @@
     outlier_detector : dogwoodwheel.entry.outliers.OutlierDetector
     query_of_death_detector : \
             dogwoodwheel.entry.query_of_death.QueryOfDeathDetector
-    crash_checker : dogwoodwheel.entry.prompt_guard.CrashChecker
+    crash_checker : dogwoodwheel.entry.crash_guard.CrashChecker
     endpoint_limits : dogwoodwheel.entry.rate_limits.EndpointLimits
     endpoint_waits : dogwoodwheel.entry.endpoint_waits.EndpointWaits
     cold_limiter : dogwoodwheel.entry.cold_start.ColdEndpointLimiter
@@ -89,7 +89,7 @@
             query_of_death_detector=query_of_death.QueryOfDeathDetector(
                 metrics.count_quarantine
             ),
-            crash_checker=prompt_guard.CrashChecker(http_client),
+            crash_checker=crash_guard.CrashChecker(http_client),
             endpoint_limits=rate_limits.EndpointLimits(metrics.count_limit),
             endpoint_waits=endpoint_waits_module.EndpointWaits(
                 metrics.count_wait
--- a/dogwoodwheel/entry/crash_evidence.py
+++ b/dogwoodwheel/entry/crash_evidence.py
@@ -1,9 +1,9 @@
-"""Finds the prompt sections that best explain crashes of engines.
+"""Finds the parts of requests that best explain crashes of endpoints.
 
 Notes
 -----
 Workload: as for `query_of_death`.  A crash breaks off many sound requests
-together with the one that caused it, and prompts share most of their sections.
+together with the one that caused it, and requests share most of their parts.
 """
 
 import collections
@@ -11,17 +11,28 @@
 import math
 import zlib
 
-__all__ = ["Crash", "find_suspects", "merge"]
-
-# Number of prompts that are remembered of a crash, strongest evidence first.
-MAX_PROMPTS_PER_CRASH = 8
+__all__ = [
+    "Crash",
+    "FULL_EVIDENCE",
+    "PARTIAL_EVIDENCE",
+    "find_suspects",
+    "merge",
+]
+
+# Evidence that a crash gives against the parts of a request: full if the
+# endpoint had begun an answer without an event, or ran no other request that
+# may have crashed it; otherwise partial.
+FULL_EVIDENCE = 1.0
+PARTIAL_EVIDENCE = 0.5
+# Number of requests that are remembered of a crash, strongest evidence first.
+MAX_REQUESTS_PER_CRASH = 8
 # Number of observations that are remembered of a crash.
 MAX_OBSERVATIONS = 32
 
 
 @dataclasses.dataclass(frozen=True)
 class Crash:
-    """The crash of an engine, with the prompts it may have died of.
+    """The crash of an endpoint, with the requests that it may be due to.
 
     Parameters
     ----------
@@ -29,8 +40,9 @@
         Name of the endpoint's process instance.
     crashed_at : float
         Time of trio's clock.
-    prompts : dict of tuple of str to float
-        Evidence against each prompt, by the prompt's shared sections.
+    requests : dict of tuple of str to float
+        Evidence against each request that was in flight, by its parts, the
+        whole request being the last one.
     observations : frozenset of int
         Random numbers, one of each entry that observed the crash.  Two
         reports with a common number describe the same crash, whatever their
@@ -40,32 +52,32 @@
 
     endpoint: str
     crashed_at: float
-    prompts: dict
+    requests: dict
     observations: frozenset = frozenset()
 
 
 def find_suspects(crashes, sound_since, min_evidence):
-    """Return the sections that best explain a set of crashes.
+    """Return the parts of requests that best explain a set of crashes.
 
     Parameters
     ----------
     crashes : sequence of Crash
     sound_since : dict of str to float
-        By section: time of the newest event of an answer to the section.
-        Crashes before that time are no evidence against the section.
+        By part: time of the newest event of an answer to a request with it.
+        Crashes before that time are no evidence against the part.
     min_evidence : callable
-        ``min_evidence(section)`` returns the required sum of evidence.
+        ``min_evidence(part)`` returns the required sum of evidence.
 
     Returns
     -------
     dict of str to (float, list of Crash)
-        By section: the evidence and the crashes that the section explains.
-        A crash that one section explains does not count for others.
+        By part: the evidence and the crashes that the part explains.
+        A crash that one part explains does not count for others.
 
     Notes
     -----
-    Takes time proportional to the number of sections in all prompts, times
-    the number of sections found.
+    Takes time proportional to the number of parts of all requests, times
+    the number of parts found.
 
     Examples
     --------
@@ -73,7 +85,7 @@
     ...     Crash("a", 1.0, {("shared", "x"): 1.0, ("shared", "y"): 0.5}),
     ...     Crash("b", 2.0, {("shared", "x"): 1.0, ("other", "z"): 0.5}),
     ... ]
-    >>> list(find_suspects(crashes, {}, lambda section: 2.0))
+    >>> list(find_suspects(crashes, {}, lambda part: 2.0))
     ['x']
     """
     suspects = {}
@@ -82,15 +94,19 @@
         evidence = collections.Counter()
         depths = {}
         for crash in unexplained:
-            sections = _evidence_of(crash, sound_since)
-            for section, (weight, depth) in sections.items():
-                evidence[section] += weight
-                depths[section] = max(depth, depths.get(section, 0))
-        found = [s for s in evidence if evidence[s] >= min_evidence(s)]
+            parts = _evidence_of(crash, sound_since)
+            for part, (weight, depth) in parts.items():
+                evidence[part] += weight
+                depths[part] = max(depth, depths.get(part, 0))
+        found = [
+            part for part in evidence if evidence[part] >= min_evidence(part)
+        ]
         if not found:
             return suspects
-        # The name makes all entries choose the same section.
-        suspect = max(found, key=lambda s: (evidence[s], depths[s], s))
+        # The name makes all entries choose the same part.
+        suspect = max(
+            found, key=lambda part: (evidence[part], depths[part], part)
+        )
         explained = [
             crash
             for crash in unexplained
@@ -102,15 +118,25 @@
 
 
 def _evidence_of(crash, sound_since):
-    """Return the evidence and position of each section that is not sound."""
-    sections = {}
-    for prompt, weight in crash.prompts.items():
-        for depth, section in enumerate(prompt):
-            if sound_since.get(section, -math.inf) > crash.crashed_at:
-                continue
-            previous = sections.get(section, (0.0, 0))
-            sections[section] = max(previous, (weight, depth))
-    return sections
+    """Return the evidence and position of each part that is not sound."""
+
+    def is_sound(part):
+        return sound_since.get(part, -math.inf) > crash.crashed_at
+
+    suspected = {
+        request: weight
+        for request, weight in crash.requests.items()
+        if not is_sound(request[-1])
+    }
+    parts = {}
+    for request, weight in suspected.items():
+        if len(suspected) == 1:
+            weight = FULL_EVIDENCE
+        for depth, part in enumerate(request):
+            if not is_sound(part):
+                previous = parts.get(part, (0.0, 0))
+                parts[part] = max(previous, (weight, depth))
+    return parts
 
 
 def merge(known, crash):
@@ -118,23 +144,23 @@
 
     Notes
     -----
-    Of equally strong evidence, each crash keeps other prompts, so that the
-    same prompt is not lost each time; all entries keep the same ones.
+    Of equally strong evidence, each crash keeps other requests, so that the
+    same request is not lost each time; all entries keep the same ones.
     """
-    prompts = dict(known.prompts)
-    for prompt, weight in crash.prompts.items():
-        prompts[prompt] = max(weight, prompts.get(prompt, 0.0))
+    requests = dict(known.requests)
+    for request, weight in crash.requests.items():
+        requests[request] = max(weight, requests.get(request, 0.0))
 
     def rank(item):
-        prompt, weight = item
-        text = "/".join((known.endpoint, *prompt))
+        request, weight = item
+        text = "/".join((known.endpoint, *request))
         return -weight, zlib.crc32(text.encode())
 
-    strongest = sorted(prompts.items(), key=rank)
+    strongest = sorted(requests.items(), key=rank)
     return Crash(
         known.endpoint,
         min(known.crashed_at, crash.crashed_at),
-        dict(strongest[:MAX_PROMPTS_PER_CRASH]),
+        dict(strongest[:MAX_REQUESTS_PER_CRASH]),
         # All entries keep the same numbers.
         frozenset(
             sorted(known.observations | crash.observations)[:MAX_OBSERVATIONS]
--- a/dogwoodwheel/entry/crash_guard.py
+++ b/dogwoodwheel/entry/crash_guard.py
@@ -1,4 +1,4 @@
-"""Reports what a request shows about its prompt, and refuses bad prompts.
+"""Reports what a request shows about its parts, and refuses deadly ones.
 
 Notes
 -----
@@ -13,9 +13,10 @@
 import trio
 
 from dogwoodwheel.entry import query_of_death
+from dogwoodwheel.entry import request_parts
 from dogwoodwheel.requests import refusals
 
-__all__ = ["CrashChecker", "PromptGuard"]
+__all__ = ["CrashChecker", "CrashGuard"]
 
 CONNECT_TIMEOUT_S = 0.4
 # Time for which the result of a check holds for other broken attempts.
@@ -51,25 +52,32 @@
         return has_crashed
 
 
-class PromptGuard:
+class CrashGuard:
     """Watches the attempts of one request.
 
     Parameters
     ----------
     components : dogwoodwheel.entry.components.Components
-    request_headers : dogwoodwheel.platform.http_headers.RequestHeaders
+    request_id : str
+    parts : tuple of str
+        Parts of the request, from `request_parts.parts_of`.
     """
 
-    def __init__(self, components, request_headers):
+    def __init__(self, components, request_id, parts):
         self._components = components
-        self._id = request_headers.id
-        self._sections = request_headers.shared_sections
+        self._id = request_id
+        self._parts = parts
         self._has_begun = False
         self._event_count = 0
         self._first_event_at = None
 
+    @property
+    def whole(self):
+        """Name of the request as a whole, for log lines."""
+        return self._parts[-1]
+
     def check(self):
-        """Refuse a request whose prompt has a quarantined section.
+        """Refuse a request that has a quarantined part.
 
         Raises
         ------
@@ -78,14 +86,28 @@
         """
         now = trio.current_time()
         detector = self._components.query_of_death_detector
-        quarantine = detector.find_quarantine(self._sections, now)
+        quarantine = detector.find_quarantine(self._parts, now)
         if quarantine is None:
             return
+        logger.info(
+            "query of death: refused",
+            id=self._id,
+            part=quarantine.part,
+            parts=",".join(self._parts),
+        )
+        crash_count = len(quarantine.endpoints)
+        if request_parts.is_whole(quarantine.part):
+            raise refusals.refused(
+                "request_quarantined",
+                f"{quarantine.part} crashed {crash_count} endpoints; change "
+                f"the request, or come back",
+                503,
+                retry_after_s=quarantine.expires_at - now,
+            )
         raise refusals.refused(
             "prompt_quarantined",
-            f"section {quarantine.section} of the prompt crashed "
-            f"{len(quarantine.endpoints)} engines; change the prompt, or "
-            f"come back",
+            f"section {quarantine.part} of the prompt crashed "
+            f"{crash_count} engines; change the prompt, or come back",
             503,
             retry_after_s=quarantine.expires_at - now,
         )
@@ -102,7 +124,7 @@
 
     def record_events(self, count):
         """Note the number of events that this attempt has received."""
-        if not count or not self._sections:
+        if not count:
             return
         if self._first_event_at is None:
             self._first_event_at = trio.current_time()
@@ -120,7 +142,7 @@
 
     def _record_sound(self):
         self._components.query_of_death_detector.record_sound(
-            self._sections, self._first_event_at
+            self._parts, self._first_event_at
         )
 
     async def record_break(self, endpoint):
@@ -137,8 +159,7 @@
             answer had just begun.
         """
         if (
-            not self._sections
-            or self._event_count >= query_of_death.SOUND_EVENTS
+            self._event_count >= query_of_death.SOUND_EVENTS
             or self._components.fleet_state.leaving.is_leaving(endpoint)
             or not await self._components.crash_checker.has_crashed(endpoint)
         ):
@@ -151,11 +172,10 @@
             "query of death: suspected",
             id=self._id,
             endpoint=endpoint.id,
-            sections=",".join(self._sections),
+            parts=",".join(self._parts),
             begun=self._has_begun,
             events=self._event_count,
         )
-        detector.record_crash(endpoint.id, self._sections, has_begun, now)
-        if has_begun:
-            self._components.heartbeats.send_soon()
+        detector.record_crash(endpoint.id, self._parts, has_begun, now)
+        self._components.heartbeats.send_soon()
         return has_begun
--- a/dogwoodwheel/entry/heartbeat_fields.py
+++ b/dogwoodwheel/entry/heartbeat_fields.py
@@ -213,7 +213,7 @@
     "waiting": _are_numbers,
     "lease": _is_claim,
     "holdings": _are_holdings,
-    "sound_sections": _are_numbers,
+    "sound_parts": _are_numbers,
     "earlier_quarantines": _are_numbers,
     "limits": _are_limits,
     "leaving": _are_integers,
--- a/dogwoodwheel/entry/membership.py
+++ b/dogwoodwheel/entry/membership.py
@@ -125,7 +125,7 @@
         entry_settings = components.settings
         fleet_state = components.fleet_state
         self._heartbeat_id += 1
-        crashes, sound_sections, earlier_quarantines = (
+        crashes, sound_parts, earlier_quarantines = (
             components.query_of_death_detector.report(trio.current_time())
         )
         return messages.EntryBeat(
@@ -153,7 +153,7 @@
             lease=self.lease.claim(),
             holdings=self.leader_role.loaded_models_by_engine(brief),
             crashes=crashes,
-            sound_sections=sound_sections,
+            sound_parts=sound_parts,
             earlier_quarantines=earlier_quarantines,
             limits=components.endpoint_limits.report(trio.current_time()),
             leaving=fleet_state.leaving.report(
@@ -225,7 +225,7 @@
             )
         components.query_of_death_detector.record_peer_report(
             heartbeat.crashes,
-            heartbeat.sound_sections,
+            heartbeat.sound_parts,
             heartbeat.earlier_quarantines,
             now,
         )
--- a/dogwoodwheel/entry/quarantines.py
+++ b/dogwoodwheel/entry/quarantines.py
@@ -1,4 +1,4 @@
-"""Quarantines of prompt sections; `query_of_death` begins and ends them."""
+"""Quarantines of parts of requests; `query_of_death` begins and ends them."""
 
 import dataclasses
 
@@ -12,21 +12,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class Quarantine:
-    """A section whose requests are refused.
+    """A part whose requests are refused.
 
     Parameters
     ----------
-    section : str
+    part : str
     evidence : float
         Sum of the evidence of the crashes.
     crashes : tuple of dogwoodwheel.entry.crash_evidence.Crash
-        Crashes that the section explains, oldest first; not empty.
+        Crashes that the part explains, oldest first; not empty.
     expires_at : float
-        Time of trio's clock at which the quarantine ends if no engine crashes
-        until then.
+        Time of trio's clock at which the quarantine ends if no endpoint
+        crashes until then.
     """
 
-    section: str
+    part: str
     evidence: float
     crashes: tuple
     expires_at: float
--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -4,12 +4,13 @@
 import trio
 
 from dogwoodwheel.engines import http
+from dogwoodwheel.entry import crash_guard
 from dogwoodwheel.entry import datatypes
 from dogwoodwheel.entry import endpoint_selection
 from dogwoodwheel.entry import events
 from dogwoodwheel.entry import load_balancing
-from dogwoodwheel.entry import prompt_guard
 from dogwoodwheel.entry import quota
+from dogwoodwheel.entry import request_parts
 from dogwoodwheel import exceptions
 from dogwoodwheel.platform import http_headers
 from dogwoodwheel.requests import callers
@@ -87,8 +88,10 @@
         self.free_retry = False
         # Whether the request may have crashed an endpoint.
         self.is_crash_suspect = False
-        self.prompt_guard = prompt_guard.PromptGuard(
-            components, admitted.request_headers
+        self.crash_guard = crash_guard.CrashGuard(
+            components,
+            admitted.request_headers.id,
+            request_parts.parts_of(admitted),
         )
         # Requests per second that the last endpoint named as its limit.
         self.rate_limit = None
@@ -126,7 +129,7 @@
                 admitted.request_headers.model, trio.current_time()
             )
         failure = None
-        self.prompt_guard.check()
+        self.crash_guard.check()
         while True:
             tracked_endpoint = None
             if failure is not None:
@@ -148,8 +151,8 @@
             if tracked_endpoint is None:
                 tracked_endpoint = await self._select_endpoint(failure)
             self.endpoint_full = False
-            # The prompt may have been quarantined while the request waited.
-            self._check_prompt(failure)
+            # A part may have been quarantined while the request waited.
+            self._check_quarantine(failure)
             failure = await self._attempt(tracked_endpoint)
             if failure is None:
                 return
@@ -170,10 +173,10 @@
                 raise failure from exc
             raise
 
-    def _check_prompt(self, failure):
-        """Refuse a quarantined prompt, or raise the failure if it ran."""
+    def _check_quarantine(self, failure):
+        """Refuse a quarantined request, or raise the failure if it ran."""
         try:
-            self.prompt_guard.check()
+            self.crash_guard.check()
         except exceptions.RefusedError as exc:
             if self.may_have_run:
                 raise failure from exc
@@ -269,6 +272,7 @@
                 prefix=",".join(
                     name for name, _ in admitted.request_headers.prompt_prefix
                 ),
+                request=self.crash_guard.whole,
                 outcome=outcome,
                 limit=self.rate_limit,
                 wait_s=round(
@@ -311,7 +315,7 @@
         endpoint_id = endpoint.id
         ran_before = self.may_have_run
         self.may_have_run = True
-        self.prompt_guard.begin_attempt()
+        self.crash_guard.begin_attempt()
         self.rate_limit = None
         self.components.record_sent(endpoint_id)
         silence_scope = trio.CancelScope()
@@ -334,7 +338,7 @@
         except exceptions.ReplyError as exc:
             self.attempts += 1
             self.components.record_outcome(endpoint_id, False)
-            self.is_crash_suspect = await self.prompt_guard.record_break(
+            self.is_crash_suspect = await self.crash_guard.record_break(
                 endpoint
             )
             return f"broken: {exc}", self._attempt_error(str(exc))
@@ -385,7 +389,7 @@
             raise exceptions.ReplyError("a reply without a valid signature")
         if self.started_reply not in (None, http_headers.reply_form(reply)):
             raise exceptions.ReplyError("a reply that is no such stream")
-        self.prompt_guard.record_head()
+        self.crash_guard.record_head()
         if self.splitter is not None:
             await self._relay_stream(reply, silence_scope)
         else:
@@ -397,7 +401,7 @@
                 )
             )
         self.components.record_outcome(endpoint.id, True)
-        self.prompt_guard.record_end()
+        self.crash_guard.record_end()
         return "ok", None
 
     def _record_limit(self, endpoint, reply):
@@ -483,7 +487,7 @@
         events_before = splitter.event_count
         async for chunk in reply.iter_chunks(send_pending_events):
             pending_events += splitter.feed(chunk)
-            self.prompt_guard.record_events(
+            self.crash_guard.record_events(
                 splitter.event_count - events_before
             )
         if splitter.has_partial_event:
--- a/dogwoodwheel/programs/metrics.py
+++ b/dogwoodwheel/programs/metrics.py
@@ -58,11 +58,11 @@
     "orders_total": "Orders to endpoints, by kind.",
     "unanswered_total": "Requests without a complete answer, by cause.",
     "task_errors_total": "Errors of background tasks, by task.",
-    "crash_suspects_total": "Requests in flight as an engine crashed.",
+    "crash_suspects_total": "Requests in flight as an endpoint crashed.",
     "leaving_total": "Endpoints that said in an answer that they leave.",
     "limits_total": "Endpoints that began to name a limit.",
     "waits_total": "Endpoints that began to want no requests for a time.",
-    "quarantines_total": "Prompt sections that were quarantined.",
+    "quarantines_total": "Parts of requests that were quarantined.",
 }
 GAUGES = {
     "shares": "Partitions of the customers' rates that are held.",
--- a/dogwoodwheel/wire/messages.py
+++ b/dogwoodwheel/wire/messages.py
@@ -348,14 +348,14 @@
         report in seconds, loaded models with adapters, and the model
         being loaded.  Some heartbeats only list engines that changed.
     crashes : tuple of (str, float, tuple, tuple)
-        Crashes of engines: endpoint, age in seconds, pairs of evidence and
-        the prompt sections it is held against, and numbers that identify the
-        crash.
-    sound_sections : dict of str to float
-        By section of these crashes: seconds since this entry passed on an
-        answer to it.
+        Crashes of endpoints: endpoint, age in seconds, pairs of evidence and
+        the parts of the request it is held against, and numbers that identify
+        the crash.
+    sound_parts : dict of str to float
+        By part of these requests: seconds since this entry passed on an
+        answer to a request with it.
     earlier_quarantines : dict of str to int
-        By section that is quarantined: number of earlier quarantines.
+        By part that is quarantined: number of earlier quarantines.
     limits : dict of str to (float or None, float or None, int)
         By endpoint that named a limit: the limit in the newest answer that
         this entry got, age of that answer in seconds, and requests sent.
@@ -386,7 +386,7 @@
     lease: tuple = None
     holdings: dict = dataclasses.field(default_factory=dict)
     crashes: tuple = ()
-    sound_sections: dict = dataclasses.field(default_factory=dict)
+    sound_parts: dict = dataclasses.field(default_factory=dict)
     earlier_quarantines: dict = dataclasses.field(default_factory=dict)
     limits: dict = dataclasses.field(default_factory=dict)
     leaving: dict = dataclasses.field(default_factory=dict)
--- a/features/odd_values.py
+++ b/features/odd_values.py
@@ -185,7 +185,7 @@
     "start of a leaving endpoint as a text": ("leaving", {"p1": "x"}),
     "leaving as a list": ("leaving", (1,)),
     "era as a text": ("store_era", "2"),
-    "sections as a text": ("sound_sections", "ab"),
+    "sound parts as a text": ("sound_parts", "ab"),
     "nested id": ("id", _nest(400)),
 }
 # Value of a row, by what is odd about it.
--- a/features/query_of_death_decisions.feature
+++ b/features/query_of_death_decisions.feature
@@ -78,3 +78,63 @@
     When the prompt "b/c" crashes an engine at 4 s
     Then "b" is quarantined at 4.5 s
     And "a" is not quarantined at 4.5 s
+
+  # The next ones guard against incident 2026-12-deadly-requests.
+  Scenario Outline: One look-up that crashes endpoints
+    Given <entries> entries that send heartbeats every <beat> s, <lost> of them lost
+    And <endpoints> endpoints with <sound> sound look-ups a second
+    When one look-up comes <rate> times a second for <time> s
+    Then at most 3 of them are sent later than 3 s after the third
+    And fewer than 0.02 of the sound requests are refused
+    And 5 s after the last crash no sound request is refused
+
+    Examples:
+      | entries | beat | lost | endpoints | sound | rate | time |
+      | 7       | 0.25 | 0    | 4         | 2     | 0.5  | 58   |
+      | 7       | 0.25 | 0.3  | 4         | 20    | 4    | 58   |
+      | 61      | 0.8  | 0.1  | 30        | 60    | 8    | 40   |
+      | 300     | 3.75 | 0.1  | 70        | 60    | 30   | 20   |
+
+  Scenario: A request crashes engines, and sound ones share its sections
+    When the request "b/a/request:1" crashes engines at 2 s and at 3 s
+    Then "request:1" is quarantined at 3.5 s
+    And "a" is not quarantined at 3.5 s
+    And "b" is not quarantined at 3.5 s
+
+  Scenario: Requests that share no more than a section crash engines
+    When the request "b/a/request:1" crashes engines at 2 s and at 3 s
+    And the request "b/a/request:2" crashes an engine at 4 s
+    Then "a" is quarantined at 4.5 s
+
+  Scenario: A look-up without a prompt crashes endpoints before it begins
+    When endpoints crash at 2 s and at 3 s while "request:1" runs
+    Then "request:1" is quarantined at 3.5 s
+
+  Scenario: A sound look-up runs beside a deadly one at two crashes
+    When endpoints crash at 2 s and at 3 s while "request:1 request:2" run
+    Then nothing is quarantined at 3.1 s
+    When an answer to the request "request:2" comes at 3.2 s
+    Then "request:1" is quarantined at 3.3 s
+    And "request:2" is not quarantined at 3.3 s
+
+  Scenario: The look-ups beside a deadly one are others at each crash
+    When endpoints crash at 2 s and at 3 s while "request:1 request:2" run
+    And endpoints crash at 4 s and at 5 s while "request:1 request:3" run
+    Then "request:1" is quarantined at 5.5 s
+    And "request:2" is not quarantined at 5.5 s
+    And "request:3" is not quarantined at 5.5 s
+
+  Scenario: A popular look-up runs at endpoints that crash at the same time
+    Given the request "request:1" with an answer at 1 s
+    When endpoints crash at 2 s and at 2.01 s while "request:1" runs
+    Then nothing is quarantined at 2.5 s
+
+  Scenario: An answered look-up begins to crash endpoints
+    Given the request "request:1" with an answer at 1 s
+    When endpoints crash at 2 s and at 3 s while "request:1" runs
+    And endpoints crash at 4 s and at 5 s while "request:1" runs
+    Then "request:1" is quarantined at 5.5 s
+
+  Scenario: A peer reports a request without parts
+    When a peer reports a crash at 2 s while a request without parts ran
+    Then nothing is quarantined at 2.5 s
--- a/features/query_of_death_replay.py
+++ b/features/query_of_death_replay.py
@@ -5,7 +5,7 @@
 
 from dogwoodwheel.entry import query_of_death
 
-__all__ = ["Fleet", "Play"]
+__all__ = ["Fleet", "LookUpPlay", "Play"]
 
 # Time from a crash to its first report, and from a datagram to its arrival.
 DELAY_S = 0.05
@@ -84,6 +84,11 @@
         Number of sound requests refused, and of all.
     """
 
+    # Whether an answer begins before its engine crashes, and the number of
+    # engines that an entry sends a request to.
+    has_begun = True
+    max_attempts = 1
+
     def __init__(self, fleet, engines, sound_rate, poison_rate, sections=46):
         self.fleet = fleet
         self.rates = {"sound": sound_rate, POISON: poison_rate}
@@ -117,8 +122,7 @@
         )
         entry = rng.choice(live)
         detector = self.fleet.detectors[entry]
-        shared = ("first", f"second-{rng.randrange(self.sections)}")
-        sections = shared if kind == "sound" else (*shared, POISON)
+        sections = self.parts_of(kind)
         refused = detector.find_quarantine(sections, now) is not None
         if kind == "sound":
             self.sound += 1
@@ -133,8 +137,18 @@
             self._waiting.append((now, engine, entry, sections))
             detector.record_sound(sections, now)
             return
-        self.poison_sent.append(now)
-        self._crash(rng.choice(engines), entry, sections, now)
+        for engine in rng.sample(
+            engines, min(self.max_attempts, len(engines))
+        ):
+            if detector.find_quarantine(sections, now) is None:
+                self.poison_sent.append(now)
+                self._crash(engine, entry, sections, now)
+
+    def parts_of(self, kind):
+        """Return the parts of a new request."""
+        second = f"second-{self.fleet.rng.randrange(self.sections)}"
+        shared = ("first", second, f"request:{self.fleet.rng.random()}")
+        return shared if kind == "sound" else (*shared[:2], POISON, shared[2])
 
     def _crash(self, engine, entry, sections, now):
         self.crashes.append(now)
@@ -146,5 +160,20 @@
                 self.fleet.detectors[other_entry].record_crash(
                     name, prompt, False, now
                 )
-        self.fleet.detectors[entry].record_crash(name, sections, True, now)
+        self.fleet.detectors[entry].record_crash(
+            name, sections, self.has_begun, now
+        )
         self.fleet.send(entry, now)
+
+
+class LookUpPlay(Play):
+    """Look-ups without a prompt, and one of them that crashes endpoints."""
+
+    has_begun = False
+    max_attempts = 2
+
+    def parts_of(self, kind):
+        """Return the parts of a new request; callers repeat some."""
+        if kind == POISON:
+            return (f"request:{POISON}",)
+        return (f"request:{self.fleet.rng.randrange(self.sections)}",)
--- a/features/standins/worker.py
+++ b/features/standins/worker.py
@@ -114,6 +114,7 @@
         self.token = 0
         self.delay_s = 0.0
         self.poison = None
+        self.deadly = None
         self.limit = None
         self.leaving = ""
         self.turn_away = ""
@@ -146,6 +147,7 @@
         lost_orders=None,
         pace_s=None,
         poison=None,
+        deadly=None,
         limit=None,
         odd_report=None,
         leaving=None,
@@ -164,6 +166,9 @@
         return, but no more than turn_away_count.  An empty text ends either.
         Poison is a section of prompts and the seconds for which the worker
         is down after it has begun to answer a prompt with that section.
+        Deadly has the path, customer and body of the request that crashes
+        the worker as it begins to run it, and the seconds for which the
+        worker is then down.
         """
         if odd_report is not None:
             self.odd_report = odd_report.encode() or None
@@ -176,6 +181,8 @@
             self.turn_away_count = turn_away_count
         if poison is not None:
             self.poison = poison
+        if deadly is not None:
+            self.deadly = deadly
         if delay_s is not None:
             self.delay_s = delay_s
         if pace_s is not None:
@@ -352,6 +359,8 @@
         return held is not None and (not adapter or adapter in held)
 
     async def _plain(self, exchange, headers, fault):
+        if self._is_deadly(exchange):
+            await self._crash(exchange, self.deadly[-1])
         body = json.dumps({"by": self.name}).encode()
         if fault == "lose":
             exchange.cut()
@@ -420,10 +429,9 @@
             ],
         )
         if self._is_poisoned(exchange):
-            self.history.add(
-                "crash", id=exchange.headers["x-request-id"], at=time.time()
-            )
-            self.crash(self.poison[1])
+            await self._crash(exchange, self.poison[-1])
+        if self._is_deadly(exchange):
+            await self._crash(exchange, self.deadly[-1])
         for number in range(first, EVENTS + 1):
             if fault == "skip" and number == 3:
                 continue
@@ -454,6 +462,21 @@
             section.partition(":")[0] for section in sections[:-1]
         }
 
+    def _is_deadly(self, exchange):
+        seen = (
+            exchange.path,
+            exchange.headers.get("x-tenant", ""),
+            exchange.body.decode(errors="replace"),
+        )
+        return self.deadly is not None and seen == tuple(self.deadly[:-1])
+
+    async def _crash(self, exchange, down_s):
+        self.history.add(
+            "crash", id=exchange.headers["x-request-id"], at=time.time()
+        )
+        self.crash(down_s)
+        await trio.lowlevel.checkpoint()
+
     async def _trickle(self, exchange):
         """Send a byte now and then, but no event, until the caller closes."""
         try:
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -170,7 +170,7 @@
     handler = object.__new__(serving.RequestHandler)
     handler.caller = callers.Caller("id", None, context.sent.send, bool)
     handler.splitter = events.EventSplitter(http_headers.event_id, None)
-    handler.prompt_guard = mock.Mock()
+    handler.crash_guard = mock.Mock()
     handler.mark_prompt_processed = mock.Mock()
 
     async def relay():
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -12,10 +12,9 @@
 import trio.testing
 
 from dogwoodwheel.engines import http
+from dogwoodwheel.entry import crash_guard
 from dogwoodwheel.entry import endpoint_selection
 from dogwoodwheel.entry import membership
-from dogwoodwheel.entry import prompt_guard
-from dogwoodwheel.platform import http_headers
 from dogwoodwheel.platform import store as store_module
 from features import entry_builders
 from features import notice_builders
@@ -245,12 +244,9 @@
 @when('the answer to a prompt breaks off at "{name}"')
 def step_break(context, name):
     play = context.play
-    headers = http_headers.RequestHeaders(
-        "r", entry_builders.HOST, prompt_prefix=(("ab", 60), ("cd", 40))
-    )
 
     async def main():
-        guard = prompt_guard.PromptGuard(play.entry, headers)
+        guard = crash_guard.CrashGuard(play.entry, "r", ("ab", "request:1"))
         guard.begin_attempt()
         guard.record_head()
         return await guard.record_break(play.endpoints[name])
--- a/features/steps/query_of_death_replay_steps.py
+++ b/features/steps/query_of_death_replay_steps.py
@@ -8,6 +8,7 @@
 from features import query_of_death_replay
 
 FREE_CRASHES = 5
+FREE_LOOK_UP_CRASHES = 3
 BEAT_S = 0.25
 
 
@@ -25,6 +26,13 @@
     context.play = query_of_death_replay.Play(context.replay, count, rate, 0)
 
 
+@given("{count:d} endpoints with {rate:g} sound look-ups a second")
+def step_endpoints(context, count, rate):
+    context.play = query_of_death_replay.LookUpPlay(
+        context.replay, count, rate, 0
+    )
+
+
 @given(
     "entry {frozen:d} is frozen from {begin:g} s to {end:g} s, and entry "
     "{restarted:d} is restarted at {at:g} s"
@@ -39,6 +47,7 @@
 
 
 @when("{rate:g} requests a second with the section come for {seconds:d} s")
+@when("one look-up comes {rate:g} times a second for {seconds:d} s")
 def step_requests(context, rate, seconds):
     play = context.play
     play.rates[query_of_death_replay.POISON] = rate
@@ -65,6 +74,16 @@
         assert len(late) <= count, (crashes, late)
 
 
+@then("at most {count:d} of them are sent later than {s:d} s after the third")
+def step_late_look_ups(context, count, s):
+    crashes = context.play.crashes
+    assert len(crashes) >= 2, crashes
+    if len(crashes) >= FREE_LOOK_UP_CRASHES:
+        bound = crashes[FREE_LOOK_UP_CRASHES - 1] + s
+        late = [at for at in context.play.poison_sent if at > bound]
+        assert len(late) <= count, (crashes, late)
+
+
 @then("fewer than {share:g} of the sound requests are refused")
 def step_share(context, share):
     play = context.play
@@ -98,7 +117,9 @@
 
 
 @given('the section "{section}" with an answer at {at:g} s')
+@given('the request "{section}" with an answer at {at:g} s')
 @when('an answer to the section "{section}" comes at {at:g} s')
+@when('an answer to the request "{section}" comes at {at:g} s')
 def step_answer(context, section, at):
     detector(context).record_sound((section,), at)
 
@@ -112,6 +133,9 @@
     'the section "{prompt}" crashes engines at {first:g} s and at {last:g} s'
 )
 @when('the prompt "{prompt}" crashes engines at {first:g} s and at {last:g} s')
+@when(
+    'the request "{prompt}" crashes engines at {first:g} s and at {last:g} s'
+)
 def step_crashes(context, prompt, first, last):
     for at in (first, last):
         step_crash(context, prompt, at)
@@ -119,11 +143,26 @@
 
 @when('the section "{prompt}" crashes an engine at {at:g} s')
 @when('the prompt "{prompt}" crashes an engine at {at:g} s')
+@when('the request "{prompt}" crashes an engine at {at:g} s')
 def step_crash(context, prompt, at):
     sections = tuple(prompt.split("/"))
     detector(context).record_crash(f"engine-{at}", sections, True, at)
 
 
+@when('endpoints crash at {first:g} s and at {last:g} s while "{names}" runs')
+@when('endpoints crash at {first:g} s and at {last:g} s while "{names}" run')
+def step_crashes_beside(context, first, last, names):
+    for at in (first, last):
+        for name in names.split():
+            detector(context).record_crash(f"engine-{at}", (name,), False, at)
+
+
+@when("a peer reports a crash at {at:g} s while a request without parts ran")
+def step_no_parts(context, at):
+    crash = ("engine-1", 0.0, ((1.0, ()),), (1,))
+    detector(context).record_peer_report((crash,), {}, {}, at)
+
+
 def peer_of(context, now):
     """Return the detector of a peer that the scenario's detector told."""
     peer = query_of_death.QueryOfDeathDetector()
--- a/features/steps/query_of_death_steps.py
+++ b/features/steps/query_of_death_steps.py
@@ -110,5 +110,5 @@
     refused = context.fleet.log("three", "refused")[-1]
     assert POISON in refused["why"], refused
     quarantined = context.fleet.log("three", "query of death: quarantined")
-    found = [line for line in quarantined if line["section"] == POISON]
+    found = [line for line in quarantined if line["part"] == POISON]
     assert found and len(found[-1]["endpoints"].split(",")) >= 2, quarantined
