Do not take a crash for the end of an answer without a length

What callers saw: a 200 with an empty body, or with the first part of the body, framed as whole, for look-ups and orders; a stream that ended as complete after half of its events.

Cause: the end of the connection was taken for the end of an answer that has neither a length nor chunks. The kernel closes the connections of a crashed process in order.

Such an answer is now whole only if it has content and its endpoint still accepts connections, or has said that it leaves. The check costs one connection for each of these answers, which are rare.

The stand-in's streams without a length now have the media type of a stream, so that they can be resumed.

Ruled out: parts of a head, cut at six places by end and by reset.

--- a/dogwoodwheel/engines/http.py
+++ b/dogwoodwheel/engines/http.py
@@ -34,6 +34,8 @@
 # much as a caller may send.  A faulty endpoint may send bytes without end.
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MIN_FAILURE_STATUS = 300
+# Statuses of replies that never have a body.
+BODYLESS_STATUSES = (204, 304)
 REQUEST_ID_HEADER = b"x-request-id"
 PEER_TIMEOUT_PATTERN = re.compile(rb"timeout=(\d+)")
 BODYLESS_METHODS = ("GET", "HEAD", "DELETE", "OPTIONS")
@@ -72,6 +74,8 @@
     ----------
     conn : dogwoodwheel.engines.connections.Connection
     head : h11.Response
+    method : str
+        Method of the request.
 
     Attributes
     ----------
@@ -80,7 +84,8 @@
         Names in lower case.
     """
 
-    def __init__(self, conn, head):
+    def __init__(self, conn, head, method="GET"):
+        self._method = method
         self.status = head.status_code
         self.headers = [(bytes(k), bytes(v)) for k, v in head.headers]
         self._conn = conn
@@ -94,9 +99,16 @@
 
     @property
     def ends_with_connection(self):
-        """Whether the body has no length, and ends as the peer closes."""
+        """Whether there is a body without a length.
+
+        It ends as the peer closes the connection, which a process that
+        crashes does, too.
+        """
         return not (
-            self.header(b"content-length") or self.header(b"transfer-encoding")
+            self.status in BODYLESS_STATUSES
+            or self._method == "HEAD"
+            or self.header(b"content-length")
+            or self.header(b"transfer-encoding")
         )
 
     async def iter_chunks(self, before_wait=None):
@@ -356,7 +368,7 @@
     await conn.send(
         req.method, req.target, _make_headers(address, req), req.body
     )
-    return Reply(conn, await conn.read_head())
+    return Reply(conn, await conn.read_head(), req.method)
 
 
 def _make_headers(address, req):
--- a/dogwoodwheel/entry/crash_guard.py
+++ b/dogwoodwheel/entry/crash_guard.py
@@ -145,6 +145,18 @@
             self._parts, self._first_event_at
         )
 
+    async def has_crashed(self, endpoint):
+        """Return whether an endpoint has ended that did not want to leave.
+
+        Parameters
+        ----------
+        endpoint : dogwoodwheel.entry.datatypes.Endpoint
+        """
+        is_leaving = self._components.fleet_state.leaving.is_leaving(endpoint)
+        return not is_leaving and (
+            await self._components.crash_checker.has_crashed(endpoint)
+        )
+
     async def record_break(self, endpoint):
         """Report an attempt that broke off, if the endpoint crashed.
 
@@ -160,8 +172,7 @@
         """
         if (
             self._event_count >= query_of_death.SOUND_EVENTS
-            or self._components.fleet_state.leaving.is_leaving(endpoint)
-            or not await self._components.crash_checker.has_crashed(endpoint)
+            or not await self.has_crashed(endpoint)
         ):
             return False
         now = trio.current_time()
--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -391,9 +391,10 @@
             raise exceptions.ReplyError("a reply that is no such stream")
         self.crash_guard.record_head()
         if self.splitter is not None:
-            await self._relay_stream(reply, silence_scope)
+            await self._relay_stream(endpoint, reply, silence_scope)
         else:
             body = await reply.read()
+            await self._check_end(endpoint, reply, bool(body))
             await _end_silence_limit(silence_scope)
             await self.caller.answer(
                 callers.Answer(
@@ -465,7 +466,24 @@
         )
         return outcome, exceptions.HttpStatusError(answer)
 
-    async def _relay_stream(self, reply, silence_scope):
+    async def _check_end(self, endpoint, reply, has_content):
+        """Check whether an answer that ended with its connection is whole.
+
+        Raises
+        ------
+        ReplyError
+            If the answer has no content, or its endpoint has crashed.
+        """
+        if not reply.ends_with_connection:
+            return
+        if not has_content:
+            raise exceptions.ReplyError("an answer ended before its content")
+        if await self.crash_guard.has_crashed(endpoint):
+            raise exceptions.ReplyError(
+                "the endpoint crashed as its answer without a length ended"
+            )
+
+    async def _relay_stream(self, endpoint, reply, silence_scope):
         """Send the events of a stream to the caller as they arrive."""
         caller = self.caller
         splitter = self.splitter
@@ -492,14 +510,8 @@
             )
         if splitter.has_partial_event:
             raise exceptions.ReplyError("a stream ended within an event")
-        if (
-            reply.ends_with_connection
-            and splitter.event_count == events_before
-        ):
-            # An endpoint that crashes closes the connection, too.
-            raise exceptions.ReplyError(
-                "a stream ended before its first event"
-            )
+        has_events = splitter.event_count > events_before
+        await self._check_end(endpoint, reply, has_events)
         await send_pending_events()
         await _end_silence_limit(silence_scope)
         if not caller.reply_started:
--- a/features/standins/worker.py
+++ b/features/standins/worker.py
@@ -18,6 +18,7 @@
 import trio
 
 from features.standins import control
+from features.standins import cut_heads
 from features.standins import history
 from features.standins import server
 from features.standins import stream_faults
@@ -50,6 +51,8 @@
     "encoded",
     "surplus",
     "unframed",
+    "unframed_end",
+    "unframed_crash",
     "unframed_break",
     "unframed_empty",
     "endless_head",
@@ -58,6 +61,7 @@
     "trickle",
     "break",
     "skip",
+    *cut_heads.FAULTS,
     *stream_faults.FAULTS,
 )
 # A fault after this prefix meets a stream that is resumed; any other stream
@@ -67,10 +71,14 @@
 # Number of whole events in a stream that ends with its connection.
 UNFRAMED_EVENTS = {
     "unframed": EVENTS,
+    "unframed_end": EVENTS,
+    "unframed_crash": 3,
     "unframed_break": 3,
     "unframed_empty": 0,
 }
 TRICKLE_S = 0.05
+# Time for which a worker is down after it has crashed in an answer.
+CRASH_S = 1.0
 LATE_ORDER_S = 1.0
 
 
@@ -131,6 +139,7 @@
         return {
             "history": self.history.dump,
             "faults": self.put,
+            "clear_faults": self.faults.clear,
             "set": self.set,
         }
 
@@ -335,6 +344,8 @@
             await exchange.reply(OK, {}, [*reply, ("x-not-executed", "1")])
         elif fault.startswith("ran_"):
             await exchange.reply(int(fault[-3:]), {}, reply)
+        elif fault in cut_heads.FAULTS:
+            await cut_heads.send(exchange, reply, fault)
         elif model:
             await self._stream(exchange, reply, fault)
         else:
@@ -377,14 +388,8 @@
             exchange.cut()
         elif fault in ENDLESS:
             await self._send_without_end(exchange, headers, fault)
-        elif fault == "unframed":
-            await exchange.raw(
-                b"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Request-Id: "
-                + exchange.headers["x-request-id"].encode()
-                + b"\r\n\r\n"
-                + body
-            )
-            exchange.cut()
+        elif fault in UNFRAMED_EVENTS:
+            await self._plain_unframed(exchange, headers, fault, body)
         elif fault == "other_id":
             await exchange.reply(OK, body, [("x-request-id", "other")])
         elif fault == "unsigned":
@@ -401,6 +406,19 @@
                     b"surplus"
                 )
 
+    async def _plain_unframed(self, exchange, headers, fault, body):
+        """Send an answer without length or chunks, and close or reset."""
+        if fault == "unframed_crash":
+            body = body[:-1]
+        lines = "".join(f"{key}: {value}\r\n" for key, value in headers)
+        await exchange.raw(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode() + body)
+        if fault == "unframed_crash":
+            await self._crash(exchange, CRASH_S)
+        elif fault == "unframed_end":
+            exchange.finish()
+        else:
+            exchange.cut()
+
     async def _send_without_end(self, exchange, headers, fault):
         """Send bytes that are no answer until the caller closes."""
         lines = "".join(f"{key}: {value}\r\n" for key, value in headers)
@@ -448,12 +466,15 @@
 
     async def _stream_unframed(self, exchange, headers, fault):
         """Send a stream without length or chunks, and close the connection."""
+        headers = [*headers, ("content-type", "text/event-stream")]
         lines = "".join(f"{key}: {value}\r\n" for key, value in headers)
         await exchange.raw(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
         for number in range(1, UNFRAMED_EVENTS[fault] + 1):
             await exchange.raw(b"id: %d\ndata: %d\n\n" % (number, number))
         if fault == "unframed_break":
             await exchange.raw(b"id: 4\nda")
+        if fault == "unframed_crash":
+            await self._crash(exchange, CRASH_S)
         exchange.finish()
 
     def _is_poisoned(self, exchange):
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -175,7 +175,7 @@
 
     async def relay():
         with trio.move_on_after(SEND_S / 2) as silence_scope:
-            await handler._relay_stream(StreamReply(), silence_scope)
+            await handler._relay_stream(None, StreamReply(), silence_scope)
 
     trio.run(relay)
 
