Tell endpoints when the stop of their entry ends

What callers saw: nothing; an endpoint worked on for an entry that was gone.

Cause: an attempt named the time until the caller's deadline, also where the entry's planned stop ends all requests before it.

Failed before: the endpoint was given 4003 ms for an order that the entry would end 3 s later ("A worker is told when the stop of the entry ends").

--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -54,7 +54,7 @@
     ReplyError
         If the caller has received a part of the answer but not the rest.
     """
-    handler = RequestHandler(components, admitted, caller)
+    handler = RequestHandler(components, admitted, caller, deadline_scope)
     try:
         with deadline_scope:
             await handler.serve()
@@ -74,10 +74,11 @@
 class RequestHandler:
     """Sends one request to endpoints, in one or more attempts."""
 
-    def __init__(self, components, admitted, caller):
+    def __init__(self, components, admitted, caller, deadline_scope):
         self.components = components
         self.admitted = admitted
         self.caller = caller
+        self._deadline_scope = deadline_scope
         self.excluded_endpoints = set()
         # Numbers of attempts that an endpoint may have run, and has not run.
         self.attempts = 0
@@ -204,6 +205,13 @@
             len(self.components.entry_names()),
         )
 
+    def _time_left_s(self):
+        """Return the seconds until the deadline, or the end of this entry."""
+        return (
+            min(self.admitted.deadline, self._deadline_scope.deadline)
+            - trio.current_time()
+        )
+
     def timeout_error(self):
         """Return the error for a request that has reached its deadline."""
         return self._no_answer_error(
@@ -229,7 +237,7 @@
         """
         endpoint = tracked_endpoint.endpoint
         admitted = self.admitted
-        time_left_s = admitted.deadline - trio.current_time()
+        time_left_s = self._time_left_s()
         if time_left_s < MIN_TIME_LEFT_S:
             return self.timeout_error()
         if self.splitter is not None:
--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -61,6 +61,11 @@
     When the entry "one" is stopped while the kept connection posts to "/orders/1"
     Then that request gets 504
 
+  Scenario: A worker is told when the stop of the entry ends
+    When the body of an order arrives 1 s after the entry "one" got SIGTERM
+    Then the order is answered whole
+    And the worker was given at most 3 s for it
+
   Scenario: A stream is cut, and the log and the metrics tell why
     Given the next request at each engine meets "break"
     When a caller asks at "/draft/a" for a stream of "m0"
--- a/features/steps/kept_connection_steps.py
+++ b/features/steps/kept_connection_steps.py
@@ -210,3 +210,74 @@
             addresses = context.fleet.directory(entry)
             assert context.fleet.front(name) in addresses, entry
         time.sleep(0.1)
+
+
+@given('the entry "{name}" has answered an order')
+def step_has_answered(context, name):
+    answer = context.fleet.ask(name, "/orders/1", "POST", b"order")
+    assert answer.status == 200, answer
+    context.asked_before = orders(context)
+
+
+def orders(context):
+    """Return the orders that reached plain workers, in order of time."""
+    events = [e for w in PLAIN_WORKERS for e in context.fleet.history(w)]
+    return sorted(events, key=lambda event: event["at"])
+
+
+@when(
+    'the body of an order arrives {s:g} s after the entry "{name}" got SIGTERM'
+)
+def step_slow_body(context, s, name):
+    fields = {
+        "Host": entry_builders.HOST,
+        "Authorization": f"Token {entry_fleet.KEY}",
+        "X-Request-Id": "5lowb0dy",
+        "X-Request-Deadline": "9000",
+        "Content-Length": "5",
+    }
+    address, _, port = context.fleet.front(name).rpartition(":")
+    conn = http.client.HTTPConnection(address, int(port), timeout=STOP_S)
+    conn.putrequest("POST", "/orders/1", skip_host=True)
+    for field, value in fields.items():
+        conn.putheader(field, value)
+    conn.endheaders(b"or")
+    proc = context.fleet.proc(name)
+    proc.terminate()
+    time.sleep(s)
+    began = time.monotonic()
+    conn.send(b"der")
+    reply = conn.getresponse()
+    context.answer = entry_fleet.Answer(
+        reply.status,
+        {key.lower(): value for key, value in reply.getheaders()},
+        reply.read(),
+        True,
+    )
+    context.took_s = time.monotonic() - began
+    conn.close()
+
+
+@then("it is refused as not run within {s:g} s, and the connection closes")
+def step_refused_at_once(context, s):
+    assert context.answer.status == 503, context.answer
+    assert b"not_run" in context.answer.body, context.answer
+    assert float(context.answer.headers["retry-after"]) > 0, context.answer
+    assert context.answer.headers["connection"] == "close", context.answer
+    assert context.took_s < s, context.took_s
+
+
+@then("no worker was asked again")
+def step_not_asked(context):
+    assert orders(context) == context.asked_before, orders(context)
+
+
+@then("the order is answered whole")
+def step_order_whole(context):
+    assert context.answer.status == 200, context.answer
+
+
+@then("the worker was given at most {s:g} s for it")
+def step_given(context, s):
+    given_ms = int(orders(context)[-1]["headers"]["x-request-deadline"])
+    assert given_ms <= s * 1000, given_ms
