Refuse requests that take longer than a stop leaves

What callers saw: an order whose body arrived late in the planned stop of its entry was passed on, and cut with 504 at the end; whether it had run was not known, so it could not be repeated, though a peer could have served it.

Cause: the end of the stop bounded the request, but not the decision to take it.

An entry now remembers how long the newest requests of each route took. In a stop, one that takes longer than is left is refused at once as not run, with a time to come back, and the wait for an endpoint ends with the stop.

Failed before: 504 for such an order ("The body of an order arrives late in the stop of its entry").

--- a/dogwoodwheel/entry/components.py
+++ b/dogwoodwheel/entry/components.py
@@ -15,6 +15,7 @@
 from dogwoodwheel.entry import quota as quota_module
 from dogwoodwheel.entry import rate_limits
 from dogwoodwheel.entry import request_counts as request_counts_module
+from dogwoodwheel.entry import request_durations as durations_module
 from dogwoodwheel.entry import retry_budget as retry_budget_module
 from dogwoodwheel.platform import http_headers
 
@@ -43,6 +44,8 @@
     endpoint_waits : dogwoodwheel.entry.endpoint_waits.EndpointWaits
     cold_limiter : dogwoodwheel.entry.cold_start.ColdEndpointLimiter
     request_counts : dogwoodwheel.entry.request_counts.RequestCounts
+    request_durations : \
+            dogwoodwheel.entry.request_durations.RequestDurations
     http_client : dogwoodwheel.engines.http.HttpClient
     metrics : dogwoodwheel.programs.metrics.Metrics
     heartbeats : dogwoodwheel.entry.heartbeats.HeartbeatExchange
@@ -65,6 +68,7 @@
     endpoint_waits: object
     cold_limiter: object
     request_counts: object
+    request_durations: object
     http_client: object
     metrics: object
     heartbeats: object
@@ -96,6 +100,7 @@
             ),
             cold_limiter=cold_start.ColdEndpointLimiter(),
             request_counts=request_counts_module.RequestCounts(),
+            request_durations=durations_module.RequestDurations(),
             http_client=http_client,
             metrics=metrics,
             heartbeats=heartbeats_module.HeartbeatExchange(settings.peers),
--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -26,6 +26,8 @@
 # SILENCE_FACTOR times the route's target latency, but at least MIN_SILENCE_S.
 SILENCE_FACTOR = 2.0
 MIN_SILENCE_S = 0.8
+# Time after which a caller may come back to another entry as this one stops.
+STOPPING_RETRY_AFTER_S = 0.1
 # Time for which an endpoint gets no requests for a model after it refused a
 # request because it does not hold the model.
 MISSING_MODEL_PAUSE_S = 0.5
@@ -106,6 +108,7 @@
             admitted.request_headers,
             min(
                 admitted.deadline,
+                deadline_scope.deadline,
                 admitted.incoming.received_at
                 + admitted.route.caller_timeout_s,
             ),
@@ -130,6 +133,7 @@
                 admitted.request_headers.model, trio.current_time()
             )
         failure = None
+        self._check_stop()
         self.crash_guard.check()
         while True:
             tracked_endpoint = None
@@ -154,8 +158,14 @@
             self.endpoint_full = False
             # A part may have been quarantined while the request waited.
             self._check_quarantine(failure)
+            if not self.may_have_run:
+                self._check_stop()
             failure = await self._attempt(tracked_endpoint)
             if failure is None:
+                components.request_durations.record(
+                    admitted.route.name,
+                    trio.current_time() - admitted.incoming.received_at,
+                )
                 return
 
     async def _select_endpoint(self, failure):
@@ -183,6 +193,29 @@
                 raise failure from exc
             raise
 
+    def _check_stop(self):
+        """Refuse a request that takes longer than this entry goes on.
+
+        Raises
+        ------
+        RefusedError
+            Another entry can answer the request.
+        """
+        if self._deadline_scope.deadline >= self.admitted.deadline:
+            return
+        route = self.admitted.route
+        expected_s = self.components.request_durations.expected_s(
+            route.name, route.target_latency_s
+        )
+        if expected_s > self._time_left_s():
+            raise refusals.refused(
+                "stopping",
+                f"this entry stops, and such requests take {expected_s:.1f} "
+                f"s; ask another entry",
+                503,
+                retry_after_s=STOPPING_RETRY_AFTER_S,
+            )
+
     def _check_retry(self, failure):
         """Raise the failure of the last attempt unless a retry is allowed."""
         if self.is_crash_suspect:
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -238,6 +238,11 @@
                     caller_idle_timeout_s * KEEP_ALIVE_TIMEOUT_FACTOR
                 )
                 self.metrics.set_config_version(fleet_state.config.version)
+                self.components.request_durations.retain(
+                    route.name
+                    for routes in fleet_state.config.routes.values()
+                    for route in routes
+                )
             self.metrics.set_store_era(self.store.era)
             self.components.outlier_detector.retain(fleet_state.endpoints)
             self.components.endpoint_limits.retain(fleet_state.endpoints)
--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -61,6 +61,14 @@
     When the entry "one" is stopped while the kept connection posts to "/orders/1"
     Then that request gets 504
 
+  # Guards against requests that are cut at the end of a planned stop.
+  Scenario: The body of an order arrives late in the stop of its entry
+    Given plain workers answer after 2 s
+    And the entry "one" has answered an order
+    When the body of an order arrives 3.2 s after the entry "one" got SIGTERM
+    Then it is refused as not run within 0.5 s, and the connection closes
+    And no worker was asked again
+
   Scenario: A worker is told when the stop of the entry ends
     When the body of an order arrives 1 s after the entry "one" got SIGTERM
     Then the order is answered whole
--- a/features/steps/entry_decision_steps.py
+++ b/features/steps/entry_decision_steps.py
@@ -449,7 +449,9 @@
     admitted = admission.AdmittedRequest(
         incoming, asked, route, datatypes.Service("s", "/health", 1), None, 1e9
     )
-    context.attempts = serving.RequestHandler(None, admitted, None, None)
+    context.attempts = serving.RequestHandler(
+        None, admitted, None, trio.CancelScope()
+    )
     context.attempts.may_have_run = ran == "may have run"
     context.earlier = refusals.refused("failed", "first", 502, "unknown")
 
