Let the soak of entries meet a request that crashes its worker

One request, drawn from look-ups and orders, begins to crash each worker of a service of its own. Later than 3 s after the third crash at most three may reach workers, and requests that share its path, customer or body must be served at least half as often as before.

--- a/features/chaos/entries.py
+++ b/features/chaos/entries.py
@@ -30,6 +30,16 @@
 # Engines that a section of prompts may crash, and their service.
 FRAGILE = {"f0": "zone-a", "f1": "zone-b"}
 FRAGILE_SERVICE = "fragile"
+# Plain workers that one request may crash, and their service.  The first body
+# of each path is that of the deadly request.
+BRITTLE = {"b0": "zone-a", "b1": "zone-b", "b2": "zone-a"}
+BRITTLE_SERVICE = "brittle"
+BRITTLE_BODIES = {
+    "/brittle/a": ("", ""),
+    "/brittle/b": ("", ""),
+    "/brittle-orders/a": ("order 0", "order 1", "order 2"),
+}
+DEADLY_RATIO = 0.2
 POISON = "dead"
 POISON_RATIO = 0.3
 DOWN_S = 0.7
@@ -75,6 +85,9 @@
     ("/stock/a", "GET", "safe"),
     ("/open/a", "GET", "safe"),
     ("/fragile/a", "POST", "stream"),
+    ("/brittle/a", "GET", "safe"),
+    ("/brittle/b", "GET", "safe"),
+    ("/brittle-orders/a", "POST", "once"),
 )
 MODELS = ("m0", "m1", "m2", "m3")
 # Keys of callers with the customer of each; the second one is withdrawn.
@@ -108,6 +121,7 @@
         self.ended = None
         self.answer = None
         self.poisoned = False
+        self.deadly = False
 
 
 class Run:
@@ -134,6 +148,10 @@
         Those of `troubled` in which links of an entry or of all were harmed.
     poisoned_at : float
         Unix time at which a section of prompts first crashes engines.
+    deadly : tuple of str or None
+        Path, customer and body of the request that crashes plain workers.
+    deadly_at : float
+        Unix time from which it does.
     gone : list of (float, float, str)
         From when to when a worker was not registered.
     leaving : list of (float, float, str)
@@ -164,6 +182,8 @@
         self.restarted = []
         self.cut_off = []
         self.poisoned_at = math.inf
+        self.deadly = None
+        self.deadly_at = math.inf
         self.gone = []
         self.leaving = []
         self.evacuated = []
@@ -187,6 +207,7 @@
             self.compact,
             self.restore,
             self.poison,
+            self.make_deadly,
             self.limit,
             self.say_leaving,
             self.turn_away,
@@ -232,18 +253,31 @@
             fleet.add_worker(
                 name, FRAGILE_SERVICE, "m0", direct=True, zone=zone
             )
+        for name, zone in BRITTLE.items():
+            fleet.add_worker(name, BRITTLE_SERVICE, direct=True, zone=zone)
         for name, zone in self.entries.items():
             fleet.start_entry(name, zone)
 
     def _configure(self, **fields):
-        """Write the configuration, with the fragile engines' service."""
+        """Write the configuration, with the services that may crash."""
         body = json.loads(entry_builders.config_body())
-        service = dict(body["services"][0], name=FRAGILE_SERVICE)
-        route = entry_builders.route_body("fragile", service=FRAGILE_SERVICE)
+        services = [
+            dict(body["services"][0], name=FRAGILE_SERVICE),
+            dict(body["services"][1], name=BRITTLE_SERVICE),
+        ]
+        routes = [
+            entry_builders.route_body("fragile", service=FRAGILE_SERVICE),
+            entry_builders.route_body(
+                "brittle", kind="safe", service=BRITTLE_SERVICE
+            ),
+            entry_builders.route_body(
+                "brittle-orders", kind="unsafe", service=BRITTLE_SERVICE
+            ),
+        ]
         self.fleet.configure(
             self.version,
-            routes=[*body["routes"], route],
-            services=[*body["services"], service],
+            routes=[*body["routes"], *routes],
+            services=[*body["services"], *services],
             **fields,
         )
 
@@ -262,6 +296,8 @@
             "X_Request_Id": sent.id,
             "X_Request_Deadline": int(DEADLINE_S * 1000),
         }
+        if path in BRITTLE_BODIES:
+            self._choose_brittle(sent, rng)
         if path in ("/chat/a", "/draft/a"):
             fields["X_Model"] = rng.choice(MODELS)
             fields["X_Token_Count"] = "100,10"
@@ -283,6 +319,20 @@
         sent.ended = time.time()
         return sent
 
+    def _choose_brittle(self, sent, rng):
+        """Make a request the deadly one, or one that shares parts of it."""
+        sent.body = rng.choice(BRITTLE_BODIES[sent.path])
+        if self.deadly and rng.random() < DEADLY_RATIO:
+            path, customer, body = self.deadly
+            if sent.path == path:
+                (sent.key,) = (k for k, c in KEYS.items() if c == customer)
+                sent.customer, sent.body = customer, body
+        sent.deadly = self.deadly is not None and self.deadly == (
+            sent.path,
+            sent.customer,
+            sent.body,
+        )
+
     def _withdraw(self):
         """Take a key away for good."""
         body = json.loads(entry_builders.config_body())
@@ -505,6 +555,20 @@
         self.log.append((time.time(), "poison"))
         return ""
 
+    def make_deadly(self, rng):
+        """Let one request crash the brittle workers from now on."""
+        if self.deadly is None:
+            path = rng.choice(tuple(BRITTLE_BODIES))
+            body = BRITTLE_BODIES[path][0]
+            self.deadly = (path, "husk", body)
+            for name in BRITTLE:
+                self.fleet.workers[name].call(
+                    "set", deadly=[*self.deadly, DOWN_S]
+                )
+            self.deadly_at = time.time()
+            self.log.append((time.time(), f"make_deadly {path}"))
+        return ""
+
     def limit(self, rng):
         """Let a plain worker name a limit for a while."""
         name = rng.choice(tuple(PLAIN))
@@ -537,10 +601,11 @@
         )
         for (path, status), count in sorted(counts.items()):
             print(f"{path:10} {status:4} {count:6}")
-        crashes = sum(
-            len(run.fleet.history(name, "crash")) for name in FRAGILE
-        )
-        print(f"{crashes} crashes of fragile engines")
+        for group in (FRAGILE, BRITTLE):
+            crashes = sum(
+                len(run.fleet.history(name, "crash")) for name in group
+            )
+            print(f"{crashes} crashes of {', '.join(group)}")
         for text in found[:40]:
             print(f"BROKEN {text}")
         if found:
--- a/features/chaos/entry_checks.py
+++ b/features/chaos/entry_checks.py
@@ -22,6 +22,9 @@
 # than CONTACT_S after the fifth crash.
 FREE_CRASHES = 5
 LATE_POISON = 3
+# The same for one request that crashes workers, after the third crash.
+FREE_DEADLY_CRASHES = 3
+LATE_DEADLY = 3
 # Sound requests of the same route are served this much less often at most,
 # where there are LEAST_SOUND of them before and after.
 LOST_RATIO = 0.5
@@ -60,7 +63,9 @@
         lambda: _withdrawn(run, workers),
         lambda: _orders(orders),
         lambda: _poison(run, workers),
+        lambda: _deadly(run, workers),
         lambda: _sound(run),
+        lambda: _sound_beside_deadly(run),
         lambda: _closed(run, workers),
         lambda: _limits(run, workers),
         lambda: _ended(run),
@@ -248,22 +253,51 @@
                 yield f"{one.id} got {one.answer.status} with a withdrawn key"
 
 
-def _crash_times(run):
+def _crash_times(run, path):
+    """Return when requests with a path crashed workers, in order."""
+    paths = {one.id: one.path for one in run.sent}
     return sorted(
         event["at"]
         for name in run.fleet.workers
         for event in run.fleet.history(name, "crash")
+        if paths.get(event["id"]) == path
     )
 
 
 def _poison(run, workers):
     """Check that a section that crashes engines is kept from them."""
-    crashes = _crash_times(run)
-    if len(crashes) < FREE_CRASHES:
-        return
-    bound = crashes[FREE_CRASHES - 1] + CONTACT_S
+    crashes = _crash_times(run, "/fragile/a")
     sent = {one.id: one for one in run.sent if one.poisoned}
-    late = [
+    if len(crashes) >= FREE_CRASHES:
+        late = _late(run, workers, sent, crashes[FREE_CRASHES - 1])
+        if len(late) > LATE_POISON:
+            yield f"{late} crash engines, {len(crashes)} crashes"
+
+
+def _deadly(run, workers):
+    """Check that a request that crashes workers is kept from them."""
+    if run.deadly is None:
+        return
+    crashes = _crash_times(run, run.deadly[0])
+    sent = {one.id: one for one in run.sent if one.deadly}
+    if len(crashes) >= FREE_DEADLY_CRASHES:
+        late = _late(run, workers, sent, crashes[FREE_DEADLY_CRASHES - 1])
+        if len(late) > LATE_DEADLY:
+            yield f"{late} crash workers, {len(crashes)} crashes"
+
+
+def _late(run, workers, sent, crashed_at):
+    """Return the requests that reach workers too late after a crash.
+
+    Parameters
+    ----------
+    sent : dict of str to features.chaos.entries.Sent
+        The requests that crash workers, by id.
+    crashed_at : float
+        Unix time of the crash.
+    """
+    bound = crashed_at + CONTACT_S
+    return [
         event["id"]
         for events in workers.values()
         for event in events
@@ -273,23 +307,42 @@
             run, sent[event["id"]].entry, event["at"], event["at"]
         )
     ]
-    if len(late) > LATE_POISON:
-        yield f"{late} crash engines, {len(crashes)} crashes"
 
 
 def _sound(run):
     """Check that sound requests are served beside those that crash engines."""
-    crashes = _crash_times(run)[:FREE_CRASHES]
+    crashes = _crash_times(run, "/fragile/a")[:FREE_CRASHES]
+    sound = [
+        one
+        for one in run.sent
+        if one.path == "/fragile/a" and not one.poisoned
+    ]
+    yield from _served_beside(run, sound, run.poisoned_at, crashes)
+
+
+def _sound_beside_deadly(run):
+    """Check that requests that share parts of a deadly one are served."""
+    if run.deadly is None:
+        return
+    crashes = _crash_times(run, run.deadly[0])[:FREE_DEADLY_CRASHES]
+    sound = [
+        one
+        for one in run.sent
+        if one.path.startswith("/brittle") and not one.deadly
+    ]
+    yield from _served_beside(run, sound, run.deadly_at, crashes)
+
+
+def _served_beside(run, sound, begun_at, crashes):
+    """Compare how many are served before and after the first crashes."""
     if not crashes:
         return
     quiet = [
         one
-        for one in run.sent
-        if one.path == "/fragile/a"
-        and not one.poisoned
-        and not _troubled(run, one.entry, one.begun, one.ended)
+        for one in sound
+        if not _troubled(run, one.entry, one.begun, one.ended)
     ]
-    before = [one for one in quiet if one.ended < run.poisoned_at]
+    before = [one for one in quiet if one.ended < begun_at]
     after = [one for one in quiet if one.begun > crashes[-1] + 2 * CONTACT_S]
     if min(len(before), len(after)) < LEAST_SOUND:
         return
