--- a/features/chaos/entries.py
+++ b/features/chaos/entries.py
@@ -40,6 +40,9 @@
     "/brittle-orders/a": ("order 0", "order 1", "order 2"),
 }
 DEADLY_RATIO = 0.2
+# Time after which a request becomes deadly, so that sound ones can be compared
+# with those before.
+DEADLY_AFTER_S = 5.0
 POISON = "dead"
 POISON_RATIO = 0.3
 DOWN_S = 0.7
@@ -167,6 +170,7 @@
     """
 
     def __init__(self, seed, entries=len(ENTRIES)):
+        self.seed = seed
         self.rng = random.Random(seed)
         self.fleet = entry_fleet.EntryFleet(
             proxied=True, keeps_connections=True
@@ -207,7 +211,6 @@
             self.compact,
             self.restore,
             self.poison,
-            self.make_deadly,
             self.limit,
             self.say_leaving,
             self.turn_away,
@@ -217,6 +220,9 @@
         """Run, heal all, and return the breaches found."""
         self._start()
         load = scenes.Load(self._send, RATE).start()
+        path = random.Random(self.seed).choice(tuple(BRITTLE_BODIES))
+        deadly = threading.Timer(DEADLY_AFTER_S, self.make_deadly, (path,))
+        deadly.start()
         try:
             until = time.monotonic() + seconds
             threads = [
@@ -235,6 +241,7 @@
             self._withdraw()
             self._evacuate()
         finally:
+            deadly.cancel()
             self.sent = load.stop()
         return entry_checks.check(self)
 
@@ -555,19 +562,13 @@
         self.log.append((time.time(), "poison"))
         return ""
 
-    def make_deadly(self, rng):
+    def make_deadly(self, path):
         """Let one request crash the brittle workers from now on."""
-        if self.deadly is None:
-            path = rng.choice(tuple(BRITTLE_BODIES))
-            body = BRITTLE_BODIES[path][0]
-            self.deadly = (path, "husk", body)
-            for name in BRITTLE:
-                self.fleet.workers[name].call(
-                    "set", deadly=[*self.deadly, DOWN_S]
-                )
-            self.deadly_at = time.time()
-            self.log.append((time.time(), f"make_deadly {path}"))
-        return ""
+        self.deadly = (path, "husk", BRITTLE_BODIES[path][0])
+        for name in BRITTLE:
+            self.fleet.workers[name].call("set", deadly=[*self.deadly, DOWN_S])
+        self.deadly_at = time.time()
+        self.log.append((time.time(), f"make_deadly {path}"))
 
     def limit(self, rng):
         """Let a plain worker name a limit for a while."""
