Hold a lone crash fully against the whole request only

Cause: where one request was in flight at a crash, the crash counted fully against each of its parts. Its sections are shared by many requests; two such crashes were enough to quarantine one. Only the whole request is new evidence.

--- a/dogwoodwheel/entry/crash_evidence.py
+++ b/dogwoodwheel/entry/crash_evidence.py
@@ -11,6 +11,8 @@
 import math
 import zlib
 
+from dogwoodwheel.entry import request_parts
+
 __all__ = [
     "Crash",
     "FULL_EVIDENCE",
@@ -20,8 +22,8 @@
 ]
 
 # Evidence that a crash gives against the parts of a request: full if the
-# endpoint had begun an answer without an event, or ran no other request that
-# may have crashed it; otherwise partial.
+# endpoint had begun an answer without an event, otherwise partial.  Against
+# the whole request, it is also full if no other one can have been the cause.
 FULL_EVIDENCE = 1.0
 PARTIAL_EVIDENCE = 0.5
 # Number of requests that are remembered of a crash, strongest evidence first.
@@ -128,14 +130,16 @@
         for request, weight in crash.requests.items()
         if not is_sound(request[-1])
     }
+    is_only_one = len(suspected) == 1
     parts = {}
     for request, weight in suspected.items():
-        if len(suspected) == 1:
-            weight = FULL_EVIDENCE
         for depth, part in enumerate(request):
-            if not is_sound(part):
-                previous = parts.get(part, (0.0, 0))
-                parts[part] = max(previous, (weight, depth))
+            if is_sound(part):
+                continue
+            if is_only_one and request_parts.is_whole(part):
+                weight = FULL_EVIDENCE
+            previous = parts.get(part, (0.0, 0))
+            parts[part] = max(previous, (weight, depth))
     return parts
 
 
--- a/features/query_of_death_decisions.feature
+++ b/features/query_of_death_decisions.feature
@@ -124,6 +124,12 @@
     And "request:2" is not quarantined at 5.5 s
     And "request:3" is not quarantined at 5.5 s
 
+  Scenario: Engines crash for another reason, each with one prompt waiting
+    When endpoints crash at 2 s and at 3 s while "b/a/request:1" runs
+    And endpoints crash at 4 s and at 4.5 s while "b/a/request:2" runs
+    Then "a" is not quarantined at 5 s
+    And "b" is not quarantined at 5 s
+
   Scenario: A popular look-up runs at endpoints that crash at the same time
     Given the request "request:1" with an answer at 1 s
     When endpoints crash at 2 s and at 2.01 s while "request:1" runs
--- a/features/steps/query_of_death_replay_steps.py
+++ b/features/steps/query_of_death_replay_steps.py
@@ -154,7 +154,9 @@
 def step_crashes_beside(context, first, last, names):
     for at in (first, last):
         for name in names.split():
-            detector(context).record_crash(f"engine-{at}", (name,), False, at)
+            detector(context).record_crash(
+                f"engine-{at}", tuple(name.split("/")), False, at
+            )
 
 
 @when("a peer reports a crash at {at:g} s while a request without parts ran")
