Give the digest in attempt lines a name of its own

What operators saw, on code that was not landed: the field `request`, which in each log line is for the request's id, had a digest in `attempt` lines, also in the text form of the log.

Cause: the new field took a name that programs/logs.py gives to its own.

The field is `digest` now; its value and all other fields are as before. Found by reading; no feature reads it by either name, so none failed before.

--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -313,7 +313,7 @@
                 prefix=",".join(
                     name for name, _ in admitted.request_headers.prompt_prefix
                 ),
-                request=self.crash_guard.whole,
+                digest=self.crash_guard.whole,
                 outcome=outcome,
                 limit=self.rate_limit,
                 wait_s=round(
