Check late requests of both replays in one place

Cause: the bound on requests after the last free crash was written twice in the steps of query_of_death_decisions.feature, and one sentence of request_parts had lost its words.

--- a/dogwoodwheel/entry/request_parts.py
+++ b/dogwoodwheel/entry/request_parts.py
@@ -3,8 +3,8 @@
 Notes
 -----
 Workload: as for `query_of_death`.  Either one section of prompts or one
-request as a whole crashes each endpoint; requests that share other parts, or
-such as the path, the customer or the body, are sound.
+request as a whole crashes each endpoint; requests that share only other parts
+with it, or only its path, customer or body, are sound.
 """
 
 import hashlib
--- a/features/steps/query_of_death_replay_steps.py
+++ b/features/steps/query_of_death_replay_steps.py
@@ -66,22 +66,23 @@
     "the fifth crash"
 )
 def step_late(context, count, seconds):
-    crashes = context.play.crashes
-    assert crashes
-    if len(crashes) >= FREE_CRASHES:
-        bound = crashes[FREE_CRASHES - 1] + seconds
-        late = [at for at in context.play.poison_sent if at > bound]
+    assert context.play.crashes
+    check_late(context.play, FREE_CRASHES, count, seconds)
+
+
+def check_late(play, free_crashes, count, seconds):
+    """Check how many requests are sent too late after the last free crash."""
+    crashes = play.crashes
+    if len(crashes) >= free_crashes:
+        bound = crashes[free_crashes - 1] + seconds
+        late = [at for at in play.poison_sent if at > bound]
         assert len(late) <= count, (crashes, late)
 
 
 @then("at most {count:d} of them are sent later than {s:d} s after the third")
 def step_late_look_ups(context, count, s):
-    crashes = context.play.crashes
-    assert len(crashes) >= 2, crashes
-    if len(crashes) >= FREE_LOOK_UP_CRASHES:
-        bound = crashes[FREE_LOOK_UP_CRASHES - 1] + s
-        late = [at for at in context.play.poison_sent if at > bound]
-        assert len(late) <= count, (crashes, late)
+    assert len(context.play.crashes) >= 2, context.play.crashes
+    check_late(context.play, FREE_LOOK_UP_CRASHES, count, s)
 
 
 @then("fewer than {share:g} of the sound requests are refused")
