Show entries that stop for all callers amid an endless answer

Claim: while a worker sends the body of one answer without end, in small chunks, the entry that reads it answers nobody (CONFIG). Tried: one model worker of seven in trouble for 6.5 s, one answer in three without end; orders to sound workers of another service; three entries, real processes.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,74 +1,114 @@
-"""A worker is gone at the end of its notice, amid answers without a length.
+"""A worker in trouble sends the body of an answer without end.
 
-The only holder of a model reports ``draining`` with two seconds left and says
-in all its answers that it leaves.  When the time has run out it is gone, as
-its process is killed.  One in twenty of its streams has neither a length nor
-chunks.  The rule: no stream ends as complete before its last piece.
+One of seven model workers begins to send bytes without end in every third of
+its answers, as chunks of one byte each, until the caller closes.  Beside it
+clients send purchase orders, which go to sound workers of another service.
+The rule: of the orders that have no answer at their route's time-out, at
+least half have one half a second later.
 """
 
+import signal
 import time
 
 from review.standins import fleet as fleet_module
 
-EVENTS = 73
-PACE_MS = 80
-# Streams of 5.8 s, six a second: 35 in flight at a worker with 64 slots.
-STREAMS = 110
-INTERVAL_S = 1 / 6
-LEAVES_AFTER = 55
-NOTICE_S = 2.0
-DEADLINE_MS = 15000
+MODEL_WORKERS = 7
+APP_WORKERS = 4
+# Orders a second over three entries; each takes its worker 80 ms.
+ORDER_INTERVAL_S = 1 / 12
+# Every so many orders, a client asks for a review of a lot.
+ORDERS_PER_REVIEW = 6
+SOUND_S = 4.0
+TROUBLE_S = 6.5
+# Clients go on after the trouble.
+AFTER_S = 6.0
+ORDER_TIMEOUT_S = 1.2
+SLACK_S = 0.5
+ORDER_DEADLINE_MS = 2500
+REVIEW_TIMEOUT_MS = 11000
+# Fewer orders past the time-out show nothing.
+MIN_ORDERS = 8
 ENTRIES = {"entry-1": "zone-a", "entry-2": "zone-b", "entry-3": "zone-c"}
 
 
+def send_for(fleet, seconds):
+    """Let clients send orders and reviews to all entries."""
+    entries = list(ENTRIES)
+    until = time.monotonic() + seconds
+    number = 0
+    while time.monotonic() < until:
+        entry = entries[number % len(entries)]
+        fleet.send_soon(
+            entry, "POST", "/orders/1", b"order", ORDER_DEADLINE_MS
+        )
+        if number % ORDERS_PER_REVIEW == 0:
+            fleet.send_soon(
+                entries[number // ORDERS_PER_REVIEW % len(entries)],
+                "POST",
+                "/draft/1",
+                b"prompt",
+                REVIEW_TIMEOUT_MS,
+                X_Model="m0",
+                X_Token_Count="2890,52",
+                X_Prompt_Prefix=f"ab01:6300,{number:08x}:2890",
+            )
+        number += 1
+        time.sleep(ORDER_INTERVAL_S)
+
+
 def case(fleet, has_trouble):
     """Run the case; return what broke the rule."""
-    fleet.configure()
-    options = [
-        *("--events", EVENTS),
-        *("--pace-ms", PACE_MS),
-        *("--unframed-every", 20),
-    ]
-    for number in range(7):
+    fleet.configure(
+        routes=[
+            fleet_module.route(
+                "draft",
+                maxAttempts=1,
+                timeoutMs=REVIEW_TIMEOUT_MS,
+                targetLatencyMs=2000,
+            ),
+            fleet_module.route(
+                "orders",
+                kind="unsafe",
+                service="app",
+                maxAttempts=1,
+                timeoutMs=int(ORDER_TIMEOUT_S * 1000),
+                targetLatencyMs=150,
+            ),
+        ]
+    )
+    for number in range(MODEL_WORKERS):
         zone = fleet_module.ZONES[number % 3]
-        # Every model but m0 has a worker of its own; m0 is at worker 0 only.
+        options = ("--events", 8, "--pace-ms", 20, "--endless-every", 3)
         fleet.add_worker(f"i-{number}", "models", zone, f"m{number}", options)
+    for number in range(APP_WORKERS):
+        zone = fleet_module.ZONES[number % 3]
+        fleet.add_worker(f"j-{number}", "app", zone)
     for name, zone in ENTRIES.items():
         fleet.start_entry(name, zone)
     fleet.wait_ready(*ENTRIES)
     time.sleep(2.0)
-    leaves_at = None
-    for number in range(STREAMS):
-        entry = list(ENTRIES)[number % len(ENTRIES)]
-        fleet.send_soon(
-            entry,
-            "POST",
-            "/chat/1",
-            b"prompt",
-            DEADLINE_MS,
-            X_Model="m0",
-            X_Token_Count="826,300",
-            X_Prompt_Prefix=f"ab01:198,{number:08x}:628",
-        )
-        time.sleep(INTERVAL_S)
-        if has_trouble and number == LEAVES_AFTER:
-            fleet.note("leaves", worker="i-0", remaining_s=NOTICE_S)
-            fleet.workers["i-0"].send_signal(fleet_module.signal.SIGUSR1)
-            fleet.register(
-                "i-0", state="draining", remainingMs=int(NOTICE_S * 1000)
-            )
-            leaves_at = time.monotonic() + NOTICE_S
-        if leaves_at is not None and time.monotonic() >= leaves_at:
-            fleet.kill_worker("i-0")
-            leaves_at = None
-    fleet.join(DEADLINE_MS / 1000 + 5)
-    last = b"id: %d\n" % EVENTS
-    return [
-        f"{answer.request_id}: a stream looks complete and ends with "
-        f"{answer.body[-30:]!r}"
-        for answer in fleet.answers
-        if answer.status == 200 and answer.is_whole and last not in answer.body
-    ]
+    send_for(fleet, SOUND_S)
+    if has_trouble:
+        fleet.note("trouble begins", worker="i-0")
+        fleet.workers["i-0"].send_signal(signal.SIGUSR2)
+    send_for(fleet, TROUBLE_S)
+    if has_trouble:
+        fleet.note("trouble ends", worker="i-0")
+        fleet.workers["i-0"].send_signal(signal.SIGHUP)
+    send_for(fleet, AFTER_S)
+    fleet.join(REVIEW_TIMEOUT_MS / 1000 + 5)
+    orders = [a for a in fleet.answers if a.path == "/orders/1"]
+    late = [a for a in orders if a.took_s > ORDER_TIMEOUT_S]
+    very_late = [a for a in late if a.took_s > ORDER_TIMEOUT_S + SLACK_S]
+    unanswered = [a for a in orders if not a.status]
+    print(
+        f"{len(orders)} orders, {len(late)} without an answer after "
+        f"{ORDER_TIMEOUT_S} s, {len(very_late)} of them {SLACK_S} s later; "
+        f"{len(unanswered)} never answered"
+    )
+    if len(late) >= MIN_ORDERS and 2 * len(very_late) > len(late):
+        return [f"{a.request_id}: {a.took_s:.1f} s" for a in very_late]
+    return []
 
 
 if __name__ == "__main__":
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -37,9 +37,11 @@
 
     Parameters
     ----------
-    request_id : str
+    request_id, path : str
     sent_at : float
         Unix time.
+    took_s : float
+        Time until the answer had ended, or the client gave up, seconds.
     status : int
         0 if no answer came.
     headers : dict
@@ -48,7 +50,19 @@
         Whether the answer ended as its framing says.
     """
 
-    def __init__(self, request_id, sent_at, status, headers, body, is_whole):
+    def __init__(
+        self,
+        request_id,
+        path,
+        sent_at,
+        took_s,
+        status,
+        headers,
+        body,
+        is_whole,
+    ):
+        self.path = path
+        self.took_s = took_s
         self.request_id = request_id
         self.sent_at = sent_at
         self.status = status
@@ -62,6 +76,7 @@
             "what": "answer",
             "id": self.request_id,
             "sent_at": self.sent_at,
+            "took_s": round(self.took_s, 3),
             "status": self.status,
             "bytes": len(self.body),
             "end": self.body[-40:].decode("latin-1"),
@@ -86,6 +101,7 @@
         self.workers_file = self.dir / "workers.txt"
         self.workers_file.touch()
         self.workers = {}
+        self.proxies = {}
         self.rows = {}
         self.entries = {}
         self.answers = []
@@ -178,8 +194,17 @@
         self.command("put", table="op", key="config", value=text)
         self.note("configuration", version=version)
 
-    def add_worker(self, name, service, zone, models="", options=(), **row):
-        """Start a worker and register it."""
+    def add_worker(
+        self,
+        name,
+        service,
+        zone,
+        models="",
+        options=(),
+        has_proxy=False,
+        **row,
+    ):
+        """Start a worker and register it, or a proxy before it."""
         address = self.free_address(self.new_host())
         proc = self.start(
             name,
@@ -194,6 +219,13 @@
                 return True
 
         wait_for(answers, name)
+        if has_proxy:
+            target, address = address, self.free_address(self.new_host())
+            self.proxies[name] = self.start(
+                f"{name}-proxy",
+                [sys.executable, ROOT / "review" / "standins" / "proxy.py"]
+                + ["--address", address, "--target", target],
+            )
         self.workers[name] = proc
         self.rows[name] = {
             "service": service,
@@ -317,7 +349,7 @@
     def send(self, entry, method, path, body=b"", deadline_ms=4000, **headers):
         """Send a request as a client does, and record its `Answer`."""
         request_id = uuid.uuid4().hex[:16]
-        sent_at = time.time()
+        sent_at, began_at = time.time(), time.monotonic()
         fields = {
             "Host": HOST,
             "X-Request-Id": request_id,
@@ -344,7 +376,14 @@
         finally:
             conn.close()
         answer = Answer(
-            request_id, sent_at, status, reply_headers, data, is_whole
+            request_id,
+            path,
+            sent_at,
+            time.monotonic() - began_at,
+            status,
+            reply_headers,
+            data,
+            is_whole,
         )
         self.note(**answer.as_record())
         with self._lock:
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -4,8 +4,8 @@
 -----
 Serves streams of numbered events for the models that it holds, and plain
 answers.  Signals steer it: SIGUSR1 makes it say in all its answers that it
-leaves, SIGKILL is its end.  What it runs is written to a file at once, one
-JSON object a line.
+leaves, SIGUSR2 and SIGHUP begin and end its trouble, SIGKILL is its end.
+What it runs is written to a file at once, one JSON object a line.
 """
 
 import argparse
@@ -35,6 +35,7 @@
         self.running = 0
         self.answers = 0
         self.leaving = False
+        self.in_trouble = False
         self.record_file = open(args.record, "a", buffering=1)
 
     def record(self, **fields):
@@ -155,6 +156,10 @@
         self.answers += 1
         every = self.args.unframed_every
         is_unframed = bool(every) and self.answers % every == 0
+        every = self.args.endless_every
+        is_endless = (
+            self.in_trouble and bool(every) and self.answers % every == 0
+        )
         self.record(
             what="run",
             id=request_id,
@@ -162,11 +167,12 @@
             path=path,
             resumes_after=headers.get("last-event-id", ""),
             unframed=is_unframed,
+            endless=is_endless,
         )
         # A worker drops a request when its connection closes.
         gone = asyncio.ensure_future(reader.read(1))
         answer = asyncio.ensure_future(
-            self.answer(model, headers, echo, is_unframed, writer)
+            self.answer(model, headers, echo, is_unframed, is_endless, writer)
         )
         try:
             await asyncio.wait(
@@ -183,7 +189,9 @@
             answer.cancel()
             self.running -= 1
 
-    async def answer(self, model, headers, echo, is_unframed, writer):
+    async def answer(
+        self, model, headers, echo, is_unframed, is_endless, writer
+    ):
         """Send the answer of a request that runs."""
         if model:
             pieces = stream_pieces(headers, self.args.events)
@@ -201,6 +209,8 @@
         if not is_unframed:
             lines.append("Transfer-Encoding: chunked")
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        if is_endless:
+            await send_without_end(writer)
         for piece in pieces:
             if not is_unframed:
                 piece = b"%x\r\n%s\r\n" % (len(piece), piece)
@@ -212,6 +222,13 @@
             await writer.drain()
 
 
+async def send_without_end(writer):
+    """Send bytes of a body until the caller closes: chunks of one byte."""
+    while True:
+        writer.write(b"1\r\nx\r\n" * 1000)
+        await writer.drain()
+
+
 def stream_pieces(headers, count):
     """Return the events of a stream, from where the request resumes it."""
     first = int(headers.get("last-event-id") or 0) + 1
@@ -237,8 +254,14 @@
         worker.leaving = True
         worker.record(what="leaving")
 
+    def set_trouble(in_trouble):
+        worker.in_trouble = in_trouble
+        worker.record(what="trouble", on=in_trouble)
+
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGUSR1, leave)
+    loop.add_signal_handler(signal.SIGUSR2, set_trouble, True)
+    loop.add_signal_handler(signal.SIGHUP, set_trouble, False)
     host, _, port = args.address.rpartition(":")
     server = await asyncio.start_server(
         worker.serve, host, int(port), limit=HEAD_LIMIT
@@ -259,4 +282,6 @@
     parser.add_argument("--load-s", type=float, default=0.4)
     # Each answer of this number has neither a length nor chunks; 0 for none.
     parser.add_argument("--unframed-every", type=int, default=0)
+    # In trouble, each answer of this number never ends; 0 for none.
+    parser.add_argument("--endless-every", type=int, default=0)
     asyncio.run(main(parser.parse_args()))
