--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,7 @@
 """A worker in trouble sends the body of an answer without end.
 
 One of seven model workers begins to send bytes without end in every third of
-its answers, as chunks of one byte each, until the caller closes.  Beside it
+its answers, as chunks of 32 bytes each, until the caller closes.  Beside it
 clients send purchase orders, which go to sound workers of another service.
 The rule: of the orders that have no answer at their route's time-out, at
 least half have one half a second later.
