Show streams cut short as a frozen entry wakes

Claim: an answer without a length is taken for whole if another worker has its endpoint's address by the time of the check (ORDER). Tried: an entry is frozen for four seconds, a worker crashes meanwhile, and a worker of another service starts at its address two seconds later; one stream in twenty without a length; three entries, real processes.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -202,10 +202,11 @@
         models="",
         options=(),
         has_proxy=False,
+        address="",
         **row,
     ):
         """Start a worker and register it, or a proxy before it."""
-        address = self.free_address(self.new_host())
+        address = address or self.free_address(self.new_host())
         proc = self.start(
             name,
             [sys.executable, ROOT / "review" / "standins" / "worker.py"]
