Count the orders that workers begin after their clients left

Claim: as the entry goes on after an endless answer, it sends workers the orders of clients that have gone (GONE), beside what case 1 shows. Tried: the same script, with a count.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -56,6 +56,16 @@
         time.sleep(ORDER_INTERVAL_S)
 
 
+def count_run_after_close(fleet, orders):
+    """Return how many orders workers began after their clients had left."""
+    began_at = {e["id"]: e["at"] for e in fleet.events(what="run")}
+    return sum(
+        began_at.get(order.request_id, 0.0)
+        > order.sent_at + order.took_s + SLACK_S
+        for order in orders
+    )
+
+
 def case(fleet, has_trouble):
     """Run the case; return what broke the rule."""
     fleet.configure(
@@ -104,7 +114,9 @@
     print(
         f"{len(orders)} orders, {len(late)} without an answer after "
         f"{ORDER_TIMEOUT_S} s, {len(very_late)} of them {SLACK_S} s later; "
-        f"{len(unanswered)} never answered"
+        f"{len(unanswered)} never answered; "
+        f"{count_run_after_close(fleet, orders)} were begun by a worker over "
+        f"{SLACK_S} s after their client had closed its connection"
     )
     if len(late) >= MIN_ORDERS and 2 * len(very_late) > len(late):
         return [f"{a.request_id}: {a.took_s:.1f} s" for a in very_late]
