Put the review's stand-ins beside its cases, in no folder

Claim: none; a folder of review/ is a case. Tried: the harness and the stand-ins as files of review/; answers without a length or an end only for a time; loads of models as long as on the sites.

--- a/review/__init__.py
+++ b/review/__init__.py
@@ -1,1 +1,1 @@
-"""Cases of the review, each a folder with its claim."""
+"""Cases of the review, and the stand-ins and the harness of their scripts."""
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,8 +1,13 @@
 #!/bin/sh
 # Build the stand-ins that the scripts start; needs no network.
-# They are Python programs, so this compiles them, and checks that the build
-# of the deploy file has made what they import.
+# They are Python programs and need no compiler: this checks that each can be
+# loaded with what the build of the deploy file has made.
 set -eu
 cd "$(dirname "$0")/.."
-PYTHONPATH=.:target/deps python3 -c "import h11, trio"
-python3 -m compileall -q features/standins review
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=.:target/deps python3 -c "
+import features.standins.platform
+import review.fleet
+import review.proxy
+import review.streams
+import review.worker
+"
--- a/review/standins/fleet.py
+++ b/review/fleet.py
@@ -20,14 +20,15 @@
 import tomllib
 import uuid
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 START_S = 30.0
 HEARTBEAT_S = 1.2
 # An entry of the list of workers goes after three silent intervals.
 LAPSE_S = 3 * HEARTBEAT_S
 HOST = "frames.example"
 KEY = "key-frames-0001"
-ZONES = ("zone-a", "zone-b", "zone-c")
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
+ENTRIES = {f"entry-{zone[-1]}": zone for zone in ZONES}
 CALL_TIMEOUT_S = 5.0
 CANNOT_RUN = 2
 
@@ -105,6 +106,7 @@
         self.rows = {}
         self.entries = {}
         self.answers = []
+        self.errors = []
         self._procs = []
         self._host_count = 0
         self._lock = threading.Lock()
@@ -209,7 +211,7 @@
         address = address or self.free_address(self.new_host())
         proc = self.start(
             name,
-            [sys.executable, ROOT / "review" / "standins" / "worker.py"]
+            [sys.executable, ROOT / "review" / "worker.py"]
             + ["--name", name, "--address", address]
             + ["--record", self.workers_file, "--models", models, *options],
         )
@@ -224,7 +226,7 @@
             target, address = address, self.free_address(self.new_host())
             self.proxies[name] = self.start(
                 f"{name}-proxy",
-                [sys.executable, ROOT / "review" / "standins" / "proxy.py"]
+                [sys.executable, ROOT / "review" / "proxy.py"]
                 + ["--address", address, "--target", target],
             )
         self.workers[name] = proc
@@ -260,15 +262,13 @@
         """End a worker at once; its row goes as the page says."""
         self.note("worker killed", worker=name)
         self.workers[name].kill()
-        row = self.rows.pop(name)
+        del self.rows[name]
 
         def lapse():
             if not self._stopped.wait(LAPSE_S):
                 self.command("delete", table="servers", key=name)
 
-        thread = threading.Thread(target=lapse, daemon=True)
-        thread.start()
-        return row
+        threading.Thread(target=lapse, daemon=True).start()
 
     def _beat(self):
         while not self._stopped.wait(HEARTBEAT_S):
@@ -363,7 +363,7 @@
         self.note("sent", id=request_id, entry=entry, path=path)
         host, _, port = address.rpartition(":")
         conn = http.client.HTTPConnection(
-            host, int(port), timeout=deadline_ms / 1000 + 1
+            host, int(port), timeout=deadline_ms / 1000
         )
         status, reply_headers, data, is_whole = 0, {}, b"", False
         try:
@@ -399,6 +399,45 @@
         thread.start()
         self._threads.append(thread)
 
+    def after(self, delay_s, func, *args):
+        """Call a function after a time, beside all else."""
+
+        def run():
+            if self._stopped.wait(delay_s):
+                return
+            try:
+                func(*args)
+            except Exception as exc:
+                self.errors.append(exc)
+
+        thread = threading.Thread(target=run, daemon=True)
+        thread.start()
+        self._threads.append(thread)
+
+    def set_odd(self, name, for_s):
+        """Begin the odd time of a worker; it ends by itself."""
+        self.note("odd answers", worker=name, for_s=for_s)
+        self.workers[name].send_signal(signal.SIGUSR2)
+        self.after(for_s, self.workers[name].send_signal, signal.SIGHUP)
+
+    def leave(self, name, notice_s):
+        """Let a worker say that it leaves, and end when its time is out."""
+        self.note("leaves", worker=name, notice_s=notice_s)
+        self.workers[name].send_signal(signal.SIGUSR1)
+        self.after(notice_s, self.kill_worker, name)
+        self.register(name, state="draining", remainingMs=int(notice_s * 1000))
+
+    def start_entries(self):
+        """Start an entry in each zone; return the processes by name."""
+        procs = {
+            name: self.start_entry(name, zone)
+            for name, zone in ENTRIES.items()
+        }
+        self.wait_ready(*ENTRIES)
+        # The entries get to know each other, and one takes the lease.
+        time.sleep(2.0)
+        return procs
+
     def join(self, timeout_s):
         """Wait until all clients have their answers."""
         until = time.monotonic() + timeout_s
@@ -486,11 +525,11 @@
                         {
                             "name": f"m{number}",
                             "weightsMb": 60000.0,
-                            "loadS": 0.4,
+                            "loadS": 6.0,
                             "adapters": 0,
                             "adapterMb": 12.0,
-                            "warmS": 0.3,
-                            "diskS": 0.4,
+                            "warmS": 0.32,
+                            "diskS": 0.42,
                         }
                         for number in range(8)
                     ],
@@ -558,6 +597,8 @@
     try:
         fleet = Fleet(pathlib.Path(file).resolve().parent)
         broken = case(fleet, has_trouble)
+        if fleet.errors:
+            raise fleet.errors[0]
     except Exception as exc:
         print(f"the case could not run: {exc!r}")
         if fleet is not None:
--- a/review/standins/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and the harness of the review's scripts."""
--- a/review/standins/worker.py
+++ b/review/worker.py
@@ -4,8 +4,9 @@
 -----
 Serves streams of numbered events for the models that it holds, and plain
 answers.  Signals steer it: SIGUSR1 makes it say in all its answers that it
-leaves, SIGUSR2 and SIGHUP begin and end its trouble, SIGKILL is its end.
-What it runs is written to a file at once, one JSON object a line.
+leaves; SIGUSR2 and SIGHUP begin and end a time in which some of its answers
+have no length, or no end, as its options say; SIGKILL is its end.  What it
+runs is written to a file at once, one JSON object a line.
 """
 
 import argparse
@@ -37,7 +38,7 @@
         self.running = 0
         self.answers = 0
         self.leaving = False
-        self.in_trouble = False
+        self.is_odd = False
         self.record_file = open(args.record, "a", buffering=1)
 
     def record(self, **fields):
@@ -156,12 +157,8 @@
         echo.append(f"X-Server-Seal: seal.{self.args.name}")
         self.running += 1
         self.answers += 1
-        every = self.args.unframed_every
-        is_unframed = bool(every) and self.answers % every == 0
-        every = self.args.endless_every
-        is_endless = (
-            self.in_trouble and bool(every) and self.answers % every == 0
-        )
+        is_unframed = self.is_one_of(self.args.unframed_every)
+        is_endless = self.is_one_of(self.args.endless_every)
         self.record(
             what="run",
             id=request_id,
@@ -184,13 +181,25 @@
                 self.record(what="dropped", id=request_id)
                 return False
             answer.result()
-            self.record(what="ended", id=request_id)
+            self.record(what="ended", id=request_id, unframed=is_unframed)
             return False
         finally:
             gone.cancel()
             answer.cancel()
             self.running -= 1
 
+    async def send_without_end(self, writer):
+        """Send bytes until the caller closes, or the odd time is over."""
+        size = ENDLESS_CHUNK_BYTES
+        chunk = b"%x\r\n%s\r\n" % (size, b"x" * size)
+        while self.is_odd:
+            writer.write(chunk * 1000)
+            await writer.drain()
+
+    def is_one_of(self, every):
+        """Return whether the newest answer is one in so many odd ones."""
+        return self.is_odd and bool(every) and self.answers % every == 0
+
     async def answer(
         self, model, headers, echo, is_unframed, is_endless, writer
     ):
@@ -212,7 +221,8 @@
             lines.append("Transfer-Encoding: chunked")
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         if is_endless:
-            await send_without_end(writer)
+            await self.send_without_end(writer)
+            return
         for piece in pieces:
             if not is_unframed:
                 piece = b"%x\r\n%s\r\n" % (len(piece), piece)
@@ -224,14 +234,6 @@
             await writer.drain()
 
 
-async def send_without_end(writer):
-    """Send bytes of a body until the caller closes, in small chunks."""
-    chunk = b"%x\r\n%s\r\n" % (ENDLESS_CHUNK_BYTES, b"x" * ENDLESS_CHUNK_BYTES)
-    while True:
-        writer.write(chunk * 1000)
-        await writer.drain()
-
-
 def stream_pieces(headers, count):
     """Return the events of a stream, from where the request resumes it."""
     first = int(headers.get("last-event-id") or 0) + 1
@@ -257,14 +259,15 @@
         worker.leaving = True
         worker.record(what="leaving")
 
-    def set_trouble(in_trouble):
-        worker.in_trouble = in_trouble
-        worker.record(what="trouble", on=in_trouble)
+    def set_odd(is_odd):
+        worker.is_odd = is_odd
+        worker.answers = 0
+        worker.record(what="odd time", on=is_odd)
 
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGUSR1, leave)
-    loop.add_signal_handler(signal.SIGUSR2, set_trouble, True)
-    loop.add_signal_handler(signal.SIGHUP, set_trouble, False)
+    loop.add_signal_handler(signal.SIGUSR2, set_odd, True)
+    loop.add_signal_handler(signal.SIGHUP, set_odd, False)
     host, _, port = args.address.rpartition(":")
     server = await asyncio.start_server(
         worker.serve, host, int(port), limit=HEAD_LIMIT
@@ -282,9 +285,10 @@
     parser.add_argument("--slots", type=int, default=64)
     parser.add_argument("--events", type=int, default=73)
     parser.add_argument("--pace-ms", type=float, default=20.0)
-    parser.add_argument("--load-s", type=float, default=0.4)
-    # Each answer of this number has neither a length nor chunks; 0 for none.
+    parser.add_argument("--load-s", type=float, default=6.0)
+    # Of the odd time's answers, one in so many has neither a length nor
+    # chunks; 0 for none.
     parser.add_argument("--unframed-every", type=int, default=0)
-    # In trouble, each answer of this number never ends; 0 for none.
+    # The same for answers without end.
     parser.add_argument("--endless-every", type=int, default=0)
     asyncio.run(main(parser.parse_args()))
