--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,25 +1,24 @@
 """A worker in trouble sends the body of an answer without end.
 
-One of seven model workers begins to send bytes without end in every third of
-its answers, as chunks of 32 bytes each, until the caller closes.  Beside it
-clients send purchase orders, which go to sound workers of another service.
-The rule: of the orders that have no answer at their route's time-out, at
-least half have one half a second later.
+One of eight model workers begins to send bytes without end in every third of
+its answers, as chunks of 32 bytes each, until the caller closes or the trouble
+is over.  Beside it clients send purchase orders, which go to sound workers of
+another service.  The rule: of the orders that have no answer at their route's
+time-out, at least half have one half a second later.
 """
 
-import signal
 import time
 
-from review.standins import fleet as fleet_module
+from review import fleet as fleet_module
 
-MODEL_WORKERS = 7
+MODEL_WORKERS = 8
 APP_WORKERS = 4
-# Orders a second over three entries; each takes its worker 80 ms.
+# Orders a second over four entries; each takes its worker 80 ms.
 ORDER_INTERVAL_S = 1 / 12
 # Every so many orders, a client asks for a review of a lot.
 ORDERS_PER_REVIEW = 6
 SOUND_S = 4.0
-TROUBLE_S = 6.5
+TROUBLE_S = 6.0
 # Clients go on after the trouble.
 AFTER_S = 6.0
 ORDER_TIMEOUT_S = 1.2
@@ -28,12 +27,11 @@
 REVIEW_TIMEOUT_MS = 11000
 # Fewer orders past the time-out show nothing.
 MIN_ORDERS = 8
-ENTRIES = {"entry-1": "zone-a", "entry-2": "zone-b", "entry-3": "zone-c"}
 
 
 def send_for(fleet, seconds):
     """Let clients send orders and reviews to all entries."""
-    entries = list(ENTRIES)
+    entries = list(fleet_module.ENTRIES)
     until = time.monotonic() + seconds
     number = 0
     while time.monotonic() < until:
@@ -87,24 +85,17 @@
         ]
     )
     for number in range(MODEL_WORKERS):
-        zone = fleet_module.ZONES[number % 3]
+        zone = fleet_module.ZONES[number % len(fleet_module.ZONES)]
         options = ("--events", 8, "--pace-ms", 20, "--endless-every", 3)
         fleet.add_worker(f"i-{number}", "models", zone, f"m{number}", options)
     for number in range(APP_WORKERS):
-        zone = fleet_module.ZONES[number % 3]
+        zone = fleet_module.ZONES[number % len(fleet_module.ZONES)]
         fleet.add_worker(f"j-{number}", "app", zone)
-    for name, zone in ENTRIES.items():
-        fleet.start_entry(name, zone)
-    fleet.wait_ready(*ENTRIES)
-    time.sleep(2.0)
+    fleet.start_entries()
     send_for(fleet, SOUND_S)
     if has_trouble:
-        fleet.note("trouble begins", worker="i-0")
-        fleet.workers["i-0"].send_signal(signal.SIGUSR2)
+        fleet.set_odd("i-0", TROUBLE_S)
     send_for(fleet, TROUBLE_S)
-    if has_trouble:
-        fleet.note("trouble ends", worker="i-0")
-        fleet.workers["i-0"].send_signal(signal.SIGHUP)
     send_for(fleet, AFTER_S)
     fleet.join(REVIEW_TIMEOUT_MS / 1000 + 5)
     orders = [a for a in fleet.answers if a.path == "/orders/1"]
