--- a/dogwoodwheel/entry/app.py
+++ b/dogwoodwheel/entry/app.py
@@ -75,6 +75,7 @@
         request_id = headers_by_name.get(b"x-request-id", b"").decode(
             "latin-1"
         )
+        callers.REQUEST_ID.set(request_id)
         caller = callers.Caller(request_id, receive, send, self.is_leaving)
         # Remains if the server of callers cancels the request.
         cause, why = CANCELLED, ""
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -23,6 +23,7 @@
 from dogwoodwheel.platform import store as store_module
 from dogwoodwheel.programs import http_server
 from dogwoodwheel.programs import logs
+from dogwoodwheel.programs import loop_monitor
 from dogwoodwheel.programs import metrics as metrics_module
 from dogwoodwheel.programs import runner
 from dogwoodwheel.programs import supervision
@@ -88,6 +89,9 @@
     ) as signals:
         async with trio.open_nursery() as nursery:
             entry = Entry(cfg)
+            trio.lowlevel.add_instrument(
+                loop_monitor.LoopMonitor(entry.metrics)
+            )
             await entry.start(nursery)
             logger.info(
                 "start",
--- a/dogwoodwheel/programs/metrics.py
+++ b/dogwoodwheel/programs/metrics.py
@@ -49,6 +49,10 @@
     "first_token_seconds": ("Arrival to first token.", LONG_BUCKETS_S),
     "token_gap_seconds": ("Gap between two tokens.", SHORT_BUCKETS_S),
     "total_seconds": ("Arrival to end of the answer.", LONG_BUCKETS_S),
+    "slow_step_seconds": (
+        "Time for which one task held the event loop, if 0.05 s or more.",
+        SHORT_BUCKETS_S,
+    ),
 }
 COUNTERS = {
     "refusals_total": "Requests refused, by cause.",
@@ -133,6 +137,10 @@
         """Record the time from arrival to the end of the answer, seconds."""
         self._observe("total_seconds", customer, priority, seconds)
 
+    def observe_slow_step(self, seconds):
+        """Record for how long one task held the event loop, seconds."""
+        self._metrics["slow_step_seconds"].observe({}, float(seconds))
+
     def count_refusal(self, code):
         """Count a refusal by its code."""
         self._metrics["refusals_total"].inc({"code": code})
--- a/dogwoodwheel/requests/callers.py
+++ b/dogwoodwheel/requests/callers.py
@@ -1,14 +1,17 @@
 """Replies to callers."""
 
+import contextvars
 import dataclasses
 
 import trio
 
 from dogwoodwheel.requests import refusals
 
-__all__ = ["Answer", "Caller"]
+__all__ = ["Answer", "Caller", "REQUEST_ID"]
 
 STATUSES_WITHOUT_BODY = (204, 304)
+# Id of the request for which a task and its child tasks run.
+REQUEST_ID = contextvars.ContextVar("request_id", default="")
 
 
 @dataclasses.dataclass(frozen=True)
