Keep endless answers from holding the event loop

EventSplitter searched all that it held for an event's end at each chunk, and a connection gave up the processor only once h11 held no whole chunk. Ruled out: the workers of the orders, store and heartbeats.

More than 4,096 chunks without an event, or of less than 16 bytes on average without a pause, end an answer as broken off.

--- a/dogwoodwheel/engines/connections.py
+++ b/dogwoodwheel/engines/connections.py
@@ -15,6 +15,7 @@
 import h11
 import trio
 
+from dogwoodwheel.engines import turns
 from dogwoodwheel import exceptions
 
 __all__ = ["Connection"]
@@ -22,6 +23,10 @@
 RECEIVE_BYTES = 65536
 # A reply with more informational responses before its head is malformed.
 MAX_INFORMATIONAL_RESPONSES = 16
+# A reply is malformed if, in a row and without a pause, more than
+# MAX_SMALL_CHUNKS chunks come with less than MIN_MEAN_CHUNK_BYTES on average.
+MAX_SMALL_CHUNKS = 4096
+MIN_MEAN_CHUNK_BYTES = 16
 # A connection is closed after this number of requests that failed, since it
 # keeps their ids.
 MAX_FAILED_REQUESTS = 256
@@ -55,6 +60,8 @@
     address : str
         ``IP:PORT``.
     stream : trio.SocketStream
+    turn_limiter : dogwoodwheel.engines.turns.TurnLimiter
+        Shared by all connections of a process.
 
     Attributes
     ----------
@@ -71,7 +78,7 @@
         Ids of the requests to which the peer replied with an error status.
     """
 
-    def __init__(self, address, stream):
+    def __init__(self, address, stream, turn_limiter):
         self.address = address
         self.became_idle_at = trio.current_time()
         self.max_idle_s = 0.0
@@ -81,9 +88,13 @@
         self._stream = stream
         self._h11 = h11.Connection(h11.CLIENT)
         self._request_sent = False
+        self._turn = turns.Turn(turn_limiter)
+        # Chunks and their bytes since the last pause of the peer.
+        self._chunk_count = 0
+        self._chunk_bytes = 0
 
     @classmethod
-    async def connect(cls, address, timeout_s):
+    async def connect(cls, address, timeout_s, turn_limiter):
         """Open a connection.
 
         Parameters
@@ -92,6 +103,8 @@
             ``IP:PORT``.
         timeout_s : float
             Maximum time for opening the connection, seconds.
+        turn_limiter : dogwoodwheel.engines.turns.TurnLimiter
+            Shared by all connections of a process.
 
         Returns
         -------
@@ -117,7 +130,7 @@
         except BaseException:
             sock.close()
             raise
-        return cls(address, trio.SocketStream(sock))
+        return cls(address, trio.SocketStream(sock), turn_limiter)
 
     def has_no_pending_data(self):
         """Return whether there is nothing to read from the socket.
@@ -201,6 +214,7 @@
             If the reply has no valid head, or more than
             `MAX_INFORMATIONAL_RESPONSES` before it.
         """
+        self._turn.end_wait()
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
@@ -216,17 +230,23 @@
         ----------
         before_wait : callable, optional
             ``await before_wait()`` is called each time before the
-            connection waits for more bytes.
+            connection waits for more bytes, or for its next turn.
 
         Raises
         ------
         ReplyError
-            If the body is malformed or shorter than its declared
-            length.
+            If the body is malformed, shorter than its declared length,
+            or comes in too many small chunks at once.
         """
         while True:
+            self._turn.begin_step()
+            if self._turn.is_over:
+                if before_wait is not None:
+                    await before_wait()
+                await self._turn.wait_next()
             event = await self._next_event(before_wait)
             if isinstance(event, h11.Data):
+                self._count_chunk(len(event.data))
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return
@@ -241,13 +261,17 @@
         try:
             while True:
                 event = self._h11.next_event()
+                self._turn.end_step()
                 if event is not h11.NEED_DATA:
                     return event
                 if before_wait is not None:
                     await before_wait()
-                self._h11.receive_data(
-                    await self._stream.receive_some(RECEIVE_BYTES)
-                )
+                self._turn.begin_wait()
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+                self._turn.end_wait()
+                if self._turn.is_rested:
+                    self._chunk_count = self._chunk_bytes = 0
+                self._h11.receive_data(data)
         except h11.RemoteProtocolError as exc:
             raise self._reply_error(exc) from exc
         except trio.BrokenResourceError as exc:
@@ -259,6 +283,15 @@
                 errno.errorcode.get(exc.errno, exc)
             ) from exc
 
+    def _count_chunk(self, size):
+        self._chunk_count += 1
+        self._chunk_bytes += size
+        if (
+            self._chunk_count > MAX_SMALL_CHUNKS
+            and self._chunk_bytes < MIN_MEAN_CHUNK_BYTES * self._chunk_count
+        ):
+            raise self._reply_error("too many small chunks")
+
     def _reply_error(self, cause):
         return exceptions.ReplyError(
             f"{self.address} broke off a reply ({cause}); look at its log"
--- a/dogwoodwheel/engines/http.py
+++ b/dogwoodwheel/engines/http.py
@@ -20,6 +20,7 @@
 import trio
 
 from dogwoodwheel.engines import connections
+from dogwoodwheel.engines import turns
 from dogwoodwheel import exceptions
 
 __all__ = ["IDLE_TIMEOUT_S", "HttpClient", "Reply", "Request", "is_timeout"]
@@ -118,7 +119,8 @@
         ----------
         before_wait : callable, optional
             ``await before_wait()`` is called each time all received
-            chunks have been yielded, before the wait for more.  With
+            chunks have been yielded, before the wait for more, and where
+            other tasks run before the next chunk.  With
             this callback a caller can forward chunks that arrived
             together as one, without delay.  No timeout applies then:
             the caller must set its own.
@@ -166,14 +168,20 @@
 class HttpClient:
     """HTTP client with a pool of idle connections to each endpoint.
 
+    Parameters
+    ----------
+    turn_limiter : dogwoodwheel.engines.turns.TurnLimiter, optional
+        Shared by all clients of a process.
+
     Attributes
     ----------
     opened_connections : int
         Number of connections opened so far.
     """
 
-    def __init__(self):
+    def __init__(self, turn_limiter=None):
         self.opened_connections = 0
+        self._turn_limiter = turn_limiter or turns.TurnLimiter()
         self._idle_connections = {}
         self._addresses_returning_ids = set()
 
@@ -289,7 +297,9 @@
         """
         self.opened_connections += 1
         try:
-            conn = await connections.Connection.connect(address, timeout_s)
+            conn = await connections.Connection.connect(
+                address, timeout_s, self._turn_limiter
+            )
         except exceptions.NotSentError as exc:
             return isinstance(exc.__cause__, ConnectionRefusedError)
         await conn.aclose()
@@ -309,7 +319,9 @@
                 return conn
             await conn.aclose()
         self.opened_connections += 1
-        return await connections.Connection.connect(address, connect_timeout_s)
+        return await connections.Connection.connect(
+            address, connect_timeout_s, self._turn_limiter
+        )
 
     def _pop_idle(self, address, req):
         """Return the connection to try next, or None to open another."""
--- a/dogwoodwheel/entry/events.py
+++ b/dogwoodwheel/entry/events.py
@@ -4,7 +4,10 @@
 
 __all__ = ["EventSplitter"]
 
+# Maximum size of an event with the comments before it, and maximum number of
+# chunks in which they come; an endpoint sends an event in one chunk, or a few.
 MAX_EVENT_BYTES = 1024 * 1024
+MAX_EVENT_CHUNKS = 4096
 EVENT_END = b"\n\n"
 
 
@@ -37,6 +40,9 @@
         self.event_count = 0
         self._get_event_number = get_event_number
         self._buffer = bytearray()
+        # What has come since the last numbered event.
+        self._bytes_since_event = 0
+        self._chunks_since_event = 0
         self._sent = (last_number, 0)
 
     def mark_sent(self):
@@ -46,6 +52,7 @@
     def reset(self):
         """Discard what the caller has not got, before the next attempt."""
         self._buffer.clear()
+        self._bytes_since_event = self._chunks_since_event = 0
         self.last_number, self.event_count = self._sent
 
     @property
@@ -59,19 +66,39 @@
         Raises
         ------
         ReplyError
-            If an event is missing, repeated, without a number, or longer
-            than `MAX_EVENT_BYTES`.
+            If an event is missing, repeated or without a number, or if
+            more than `MAX_EVENT_BYTES` or `MAX_EVENT_CHUNKS` come without
+            the end of a numbered event.
+
+        Notes
+        -----
+        The bytes that are buffered contain no end of an event, so that
+        each byte is searched once, in whatever chunks the bytes come.
         """
+        search_from = max(0, len(self._buffer) - len(EVENT_END) + 1)
         self._buffer += chunk
-        complete_bytes = self._buffer.rfind(EVENT_END) + len(EVENT_END)
-        if complete_bytes < len(EVENT_END):
-            if len(self._buffer) > MAX_EVENT_BYTES:
-                raise exceptions.ReplyError("an event is too long")
-            return b""
-        complete_events = bytes(self._buffer[:complete_bytes])
-        del self._buffer[:complete_bytes]
-        for event in complete_events.split(EVENT_END)[:-1]:
-            self._check_order(event)
+        self._bytes_since_event += len(chunk)
+        self._chunks_since_event += 1
+        end = self._buffer.rfind(EVENT_END, search_from)
+        complete_events = b""
+        if end >= 0:
+            complete_bytes = end + len(EVENT_END)
+            complete_events = bytes(self._buffer[:complete_bytes])
+            del self._buffer[:complete_bytes]
+            count_before = self.event_count
+            for event in complete_events.split(EVENT_END)[:-1]:
+                self._check_order(event)
+            if self.event_count > count_before:
+                self._bytes_since_event = len(self._buffer)
+                self._chunks_since_event = 0
+        if (
+            self._bytes_since_event > MAX_EVENT_BYTES
+            or self._chunks_since_event > MAX_EVENT_CHUNKS
+        ):
+            raise exceptions.ReplyError(
+                f"no event after event {self.last_number} in "
+                f"{self._bytes_since_event} bytes"
+            )
         return complete_events
 
     def _check_order(self, event):
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -11,6 +11,7 @@
 import trio
 
 from dogwoodwheel.engines import http
+from dogwoodwheel.engines import turns
 from dogwoodwheel.entry import app as app_module
 from dogwoodwheel.entry import components as components_module
 from dogwoodwheel.entry import leader as leader_module
@@ -123,11 +124,14 @@
     def __init__(self, cfg):
         self.cfg = cfg
         self.metrics = metrics_module.Metrics()
-        http_client = http.HttpClient()
+        turn_limiter = turns.TurnLimiter()
+        http_client = http.HttpClient(turn_limiter)
         self.components = components_module.Components.from_settings(
             cfg, http_client, self.metrics
         )
-        self.store = store_module.Store(cfg.store, http.HttpClient())
+        self.store = store_module.Store(
+            cfg.store, http.HttpClient(turn_limiter)
+        )
         self.member = membership.Member(
             self.components, self.store, uuid.uuid4().hex
         )
--- a/features/standins/worker.py
+++ b/features/standins/worker.py
@@ -8,7 +8,6 @@
 """
 
 import argparse
-import contextlib
 import functools
 import json
 import math
@@ -19,6 +18,7 @@
 
 from features.standins import control
 from features.standins import cut_heads
+from features.standins import endless
 from features.standins import history
 from features.standins import server
 from features.standins import stream_faults
@@ -55,13 +55,11 @@
     "unframed_crash",
     "unframed_break",
     "unframed_empty",
-    "endless_head",
-    "endless_interim",
-    "endless_body",
     "trickle",
     "break",
     "skip",
     *cut_heads.FAULTS,
+    *endless.FAULTS,
     *stream_faults.FAULTS,
 )
 # A fault after this prefix meets a stream that is resumed; any other stream
@@ -82,20 +80,6 @@
 LATE_ORDER_S = 1.0
 
 
-# What is sent first, and then again and again.
-ENDLESS = {
-    "endless_body": (
-        b"HTTP/1.1 200 OK\r\n(headers)Transfer-Encoding: chunked\r\n\r\n",
-        b"8000\r\n" + 0x8000 * b"x" + b"\r\n",
-    ),
-    "endless_head": (
-        b"HTTP/1.1 200 OK\r\n(headers)",
-        b"X-Fill: " + 1000 * b"x" + b"\r\n",
-    ),
-    "endless_interim": (b"", 20 * b"HTTP/1.1 100 Continue\r\n\r\n"),
-}
-
-
 class Worker:
     """An engine, or a plain service where it has no memory.
 
@@ -346,6 +330,8 @@
             await exchange.reply(int(fault[-3:]), {}, reply)
         elif fault in cut_heads.FAULTS:
             await cut_heads.send(exchange, reply, fault)
+        elif fault in endless.FAULTS:
+            await endless.send(exchange, reply, fault)
         elif model:
             await self._stream(exchange, reply, fault)
         else:
@@ -386,8 +372,6 @@
                 + body
             )
             exchange.cut()
-        elif fault in ENDLESS:
-            await self._send_without_end(exchange, headers, fault)
         elif fault in UNFRAMED_EVENTS:
             await self._plain_unframed(exchange, headers, fault, body)
         elif fault == "other_id":
@@ -419,15 +403,6 @@
         else:
             exchange.cut()
 
-    async def _send_without_end(self, exchange, headers, fault):
-        """Send bytes that are no answer until the caller closes."""
-        lines = "".join(f"{key}: {value}\r\n" for key, value in headers)
-        start, piece = ENDLESS[fault]
-        await exchange.raw(start.replace(b"(headers)", lines.encode()))
-        with contextlib.suppress(trio.BrokenResourceError):
-            while True:
-                await exchange.raw(piece)
-
     async def _stream(self, exchange, headers, fault):
         first = int(exchange.headers.get("last-event-id", 0)) + 1
         if fault in stream_faults.FAULTS:
--- a/features/steps/event_loop_steps.py
+++ b/features/steps/event_loop_steps.py
@@ -1,7 +1,6 @@
 """Steps about bytes of peers that would hold the event loop."""
 
 import concurrent.futures
-import threading
 import time
 
 from behave import given
@@ -18,6 +17,7 @@
 
 ORDER_INTERVAL_S = 0.05
 STREAM_DEADLINE_MS = 4000
+MAX_CALLERS = 200
 OK = 200
 LOOP_MESSAGE = "event loop: held by one task"
 
@@ -67,42 +67,25 @@
 
 
 @when(
-    '{count:d} callers ask for a stream while others post to "{path}" '
-    "for {s:d} s"
+    'callers post to "{path}" for {seconds:d} s beside {count:d} streams',
 )
-def step_streams_and_orders(context, count, path, s):
-    def ask():
-        context.fleet.stream("one", X_Request_Deadline=STREAM_DEADLINE_MS)
-
-    send_orders(context, path, s, count * [ask])
-
-
-@when(
-    '{count:d} callers post to "{first}" while others post to "{path}" '
-    "for {s:d} s"
-)
-def step_orders(context, count, first, path, s):
-    send_orders(context, path, s, [])
-
-
-def send_orders(context, path, seconds, others):
-    """Send orders at a steady rate, beside what other callers do."""
+def step_orders_beside_streams(context, path, seconds, count):
     context.orders = []
 
+    def ask_for_stream():
+        context.fleet.stream("one", X_Request_Deadline=STREAM_DEADLINE_MS)
+
     def post():
         began = time.monotonic()
         answer = context.fleet.ask("one", path, "POST", b"order")
         context.orders.append((answer, time.monotonic() - began))
 
-    threads = [threading.Thread(target=other) for other in others]
-    for thread in threads:
-        thread.start()
-    with concurrent.futures.ThreadPoolExecutor(200) as executor:
+    with concurrent.futures.ThreadPoolExecutor(MAX_CALLERS) as executor:
+        for _ in range(count):
+            executor.submit(ask_for_stream)
         for _ in range(int(seconds / ORDER_INTERVAL_S)):
             executor.submit(post)
             time.sleep(ORDER_INTERVAL_S)
-    for thread in threads:
-        thread.join()
 
 
 @then("at most {count:d} orders fail")
