Bound the memory of all replies of a process together

What callers saw: 100 orders to a worker that stops its answers just below the bound of one, and holds on, took 379 MB of resident memory in one entry. The platform kills a process at 300 MB, with all requests that it serves.

Cause: each bound was one of an answer, none was one of the process. And a connection's turn was bounded, but not the work of many connections that each use less than a turn: answers of 340 MB in a second delayed new callers by 1.6 s.

Fix: replies of 64 KiB and more are counted; beyond a quarter of the process's memory the endpoint with the most loses its largest reply. Turns are shorter while all replies together use over a quarter of the processor. Engines' replies are bounded by 512 KiB, as each is parsed in one step.

--- a/dogwoodwheel/engines/connections.py
+++ b/dogwoodwheel/engines/connections.py
@@ -23,10 +23,12 @@
 RECEIVE_BYTES = 65536
 # A reply with more informational responses before its head is malformed.
 MAX_INFORMATIONAL_RESPONSES = 16
-# A reply is malformed if, in a row and without a pause, more than
-# MAX_SMALL_CHUNKS chunks come with less than MIN_MEAN_CHUNK_BYTES on average.
-MAX_SMALL_CHUNKS = 4096
+# A reply whose chunks have less than MIN_MEAN_CHUNK_BYTES on average is
+# malformed if more than MAX_SMALL_CHUNKS come at once, or more than
+# SMALL_CHUNKS_PER_S over a long time.
 MIN_MEAN_CHUNK_BYTES = 16
+MAX_SMALL_CHUNKS = 4096
+SMALL_CHUNKS_PER_S = 100
 # A connection is closed after this number of requests that failed, since it
 # keeps their ids.
 MAX_FAILED_REQUESTS = 256
@@ -89,7 +91,9 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._request_sent = False
         self._turn = turns.Turn(turn_limiter)
-        # Chunks and their bytes since the last pause of the peer.
+        self._abort_cause = None
+        self._head_read_at = 0.0
+        # Number and size of the chunks of the reply so far.
         self._chunk_count = 0
         self._chunk_bytes = 0
 
@@ -147,6 +151,7 @@
         """Whether the connection can carry another request now."""
         return (
             self._request_sent
+            and self._abort_cause is None
             and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
             and not self._h11.trailing_data[0]
@@ -218,6 +223,8 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                self._head_read_at = trio.current_time()
+                self._chunk_count = self._chunk_bytes = 0
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self._reply_error("no head")
@@ -253,6 +260,22 @@
             else:
                 raise self._reply_error("no whole body")
 
+    def abort(self, cause):
+        """Break the reply off, whoever waits for it.
+
+        Parameters
+        ----------
+        cause : str
+            Message of the `ReplyError` that the reader gets.
+        """
+        self._abort_cause = cause
+        self._stream.socket.close()
+
+    def check_aborted(self):
+        """Raise the `ReplyError` if the reply was broken off here."""
+        if self._abort_cause is not None:
+            raise self._reply_error(self._abort_cause)
+
     async def aclose(self):
         """Close the connection without waiting for the peer."""
         await trio.aclose_forcefully(self._stream)
@@ -269,15 +292,13 @@
                 self._turn.begin_wait()
                 data = await self._stream.receive_some(RECEIVE_BYTES)
                 self._turn.end_wait()
-                if self._turn.is_rested:
-                    self._chunk_count = self._chunk_bytes = 0
                 self._h11.receive_data(data)
         except h11.RemoteProtocolError as exc:
             raise self._reply_error(exc) from exc
         except trio.BrokenResourceError as exc:
             raise self._reply_error(exc) from exc
         except trio.ClosedResourceError as exc:
-            raise self._reply_error(exc) from exc
+            raise self._reply_error(self._abort_cause or exc) from exc
         except OSError as exc:
             raise self._reply_error(
                 errno.errorcode.get(exc.errno, exc)
@@ -290,7 +311,10 @@
             self._chunk_count > MAX_SMALL_CHUNKS
             and self._chunk_bytes < MIN_MEAN_CHUNK_BYTES * self._chunk_count
         ):
-            raise self._reply_error("too many small chunks")
+            elapsed_s = trio.current_time() - self._head_read_at
+            max_chunks = MAX_SMALL_CHUNKS + SMALL_CHUNKS_PER_S * elapsed_s
+            if self._chunk_count > max_chunks:
+                raise self._reply_error("too many small chunks")
 
     def _reply_error(self, cause):
         return exceptions.ReplyError(
--- a/dogwoodwheel/engines/http.py
+++ b/dogwoodwheel/engines/http.py
@@ -20,6 +20,7 @@
 import trio
 
 from dogwoodwheel.engines import connections
+from dogwoodwheel.engines import reply_memory
 from dogwoodwheel.engines import turns
 from dogwoodwheel import exceptions
 
@@ -34,6 +35,8 @@
 # Maximum size of the body of an endpoint's reply that is read as a whole; as
 # much as a caller may send.  A faulty endpoint may send bytes without end.
 MAX_BODY_BYTES = 4 * 1024 * 1024
+# Change of a body's size from which it is counted anew.
+HELD_STEP_BYTES = 64 * 1024
 MIN_FAILURE_STATUS = 300
 # Statuses of replies that never have a body.
 BODYLESS_STATUSES = (204, 304)
@@ -77,6 +80,7 @@
     head : h11.Response
     method : str
         Method of the request.
+    memory : dogwoodwheel.engines.reply_memory.ReplyMemory
 
     Attributes
     ----------
@@ -85,8 +89,10 @@
         Names in lower case.
     """
 
-    def __init__(self, conn, head, method="GET"):
+    def __init__(self, conn, head, method, memory):
         self._method = method
+        self._memory = memory
+        self._held_bytes = 0
         self.status = head.status_code
         self.headers = [(bytes(k), bytes(v)) for k, v in head.headers]
         self._conn = conn
@@ -141,8 +147,26 @@
                     return
                 yield chunk
 
+    def hold(self, size):
+        """Count the bytes of the body that the caller of this method keeps.
+
+        Parameters
+        ----------
+        size : int
+
+        Raises
+        ------
+        ReplyError
+            If the replies of this process take too much memory, and this
+            one has to go.
+        """
+        if abs(size - self._held_bytes) >= HELD_STEP_BYTES:
+            self._held_bytes = size
+            self._memory.resize(self._conn, size)
+        self._conn.check_aborted()
+
     async def read(self, max_bytes=MAX_BODY_BYTES):
-        """Return the whole body.
+        """Return the whole body, which is counted until the reply is closed.
 
         Parameters
         ----------
@@ -152,11 +176,13 @@
         Raises
         ------
         ReplyError
-            If the body is malformed, incomplete or longer.
+            If the body is malformed, incomplete or longer, or if replies
+            take too much memory.
         """
         body = bytearray()
         async for chunk in self.iter_chunks():
             body += chunk
+            self.hold(len(body))
             if len(body) > max_bytes:
                 raise exceptions.ReplyError(
                     f"a reply is longer than {max_bytes} bytes; look at the "
@@ -172,6 +198,8 @@
     ----------
     turn_limiter : dogwoodwheel.engines.turns.TurnLimiter, optional
         Shared by all clients of a process.
+    memory : dogwoodwheel.engines.reply_memory.ReplyMemory, optional
+        Shared by all clients of a process.
 
     Attributes
     ----------
@@ -179,9 +207,10 @@
         Number of connections opened so far.
     """
 
-    def __init__(self, turn_limiter=None):
+    def __init__(self, turn_limiter=None, memory=None):
         self.opened_connections = 0
         self._turn_limiter = turn_limiter or turns.TurnLimiter()
+        self._memory = memory or reply_memory.ReplyMemory()
         self._idle_connections = {}
         self._addresses_returning_ids = set()
 
@@ -214,13 +243,14 @@
         may_reuse = False
         try:
             reply = await _call_within(
-                IDLE_TIMEOUT_S, _send_request, conn, address, req
+                IDLE_TIMEOUT_S, self._send_request, conn, req
             )
             may_reuse = self._may_reuse(conn, req, reply)
             if req.id and reply.status >= MIN_FAILURE_STATUS:
                 conn.failed_request_ids.add(req.id)
             yield reply
         finally:
+            self._memory.resize(conn, 0)
             if (
                 may_reuse
                 and conn.is_reusable
@@ -323,6 +353,12 @@
             address, connect_timeout_s, self._turn_limiter
         )
 
+    async def _send_request(self, conn, req):
+        headers = _make_headers(conn.address, req)
+        await conn.send(req.method, req.target, headers, req.body)
+        head = await conn.read_head()
+        return Reply(conn, head, req.method, self._memory)
+
     def _pop_idle(self, address, req):
         """Return the connection to try next, or None to open another."""
         if req.new_connection:
@@ -376,13 +412,6 @@
     return isinstance(exc.__cause__, trio.TooSlowError)
 
 
-async def _send_request(conn, address, req):
-    await conn.send(
-        req.method, req.target, _make_headers(address, req), req.body
-    )
-    return Reply(conn, await conn.read_head(), req.method)
-
-
 def _make_headers(address, req):
     headers = []
     if not any(name == b"host" for name, _ in req.headers):
--- a/dogwoodwheel/engines/turns.py
+++ b/dogwoodwheel/engines/turns.py
@@ -14,11 +14,18 @@
 
 __all__ = ["Turn", "TurnLimiter"]
 
-# Longest processor time that a reply takes before other tasks run.
-TURN_S = 0.01
-# Share of the processor time that all replies take together which need more
-# than this share each.
+# Processor time that a reply takes before it waits for its next turn; the
+# shorter one holds while all replies together use more than `PROCESSOR_SHARE`.
+TURN_S = 0.005
+BUSY_TURN_S = 0.001
+# Share of the processor time that each reply may use without a further turn.
+REPLY_SHARE = 0.02
+# Share of the processor time that all further turns take together.
 PROCESSOR_SHARE = 0.25
+# Processor time above this share from which replies use more than it.
+BUSY_S = 0.05
+# Processor time for receiving bytes, before they are parsed.
+RECEIVE_WORK_S = 0.0001
 # A consumer of chunks that takes longer has waited for something else.
 MAX_CONSUMER_STEP_S = 0.05
 
@@ -31,6 +38,19 @@
 
     def __init__(self):
         self._lock = trio.Lock()
+        self._used_s = 0.0
+        self._used_at = time.perf_counter()
+
+    def charge(self, used_s, now):
+        """Add processor time that a reply has used until now, seconds."""
+        idle_s = PROCESSOR_SHARE * (now - self._used_at)
+        self._used_s = max(0.0, self._used_s - idle_s) + used_s
+        self._used_at = now
+
+    @property
+    def turn_s(self):
+        """Processor time of a turn, seconds."""
+        return BUSY_TURN_S if self._used_s > BUSY_S else TURN_S
 
     async def wait_next(self, used_s):
         """Wait for the next turn.
@@ -54,8 +74,8 @@
     Notes
     -----
     Time that the connection does not use counts in its favour, up to one
-    turn.  A stream of events that arrive as they are made uses a hundredth
-    of `PROCESSOR_SHARE`.
+    turn.  A stream of 70 events a second, each handled as it arrives, uses
+    half of `REPLY_SHARE`.
     """
 
     def __init__(self, limiter):
@@ -67,15 +87,21 @@
         """Note that the connection goes on with a chunk."""
         now = time.perf_counter()
         elapsed_s = now - self._last_at
-        if elapsed_s < MAX_CONSUMER_STEP_S:
-            self._used_s += elapsed_s
         self._last_at = now
+        if elapsed_s < MAX_CONSUMER_STEP_S:
+            self.charge(elapsed_s)
 
     def end_step(self):
         """Note that a chunk has been taken from the received bytes."""
         now = time.perf_counter()
-        self._used_s += now - self._last_at
+        elapsed_s = now - self._last_at
         self._last_at = now
+        self.charge(elapsed_s)
+
+    def charge(self, used_s):
+        """Add processor time that was used for the connection, seconds."""
+        self._used_s += used_s
+        self._limiter.charge(used_s, self._last_at)
 
     def begin_wait(self):
         """Note that all received bytes have been handled."""
@@ -85,18 +111,14 @@
         """Note that further bytes have arrived."""
         now = time.perf_counter()
         idle_s = now - self._last_at
-        self._used_s = max(0.0, self._used_s - PROCESSOR_SHARE * idle_s)
         self._last_at = now
-
-    @property
-    def is_rested(self):
-        """Whether the connection has used less than its share for a while."""
-        return not self._used_s
+        self._used_s = max(0.0, self._used_s - REPLY_SHARE * idle_s)
+        self.charge(RECEIVE_WORK_S)
 
     @property
     def is_over(self):
         """Whether other tasks must run before the next chunk."""
-        return self._used_s >= TURN_S
+        return self._used_s >= self._limiter.turn_s
 
     async def wait_next(self):
         """Wait for the next turn."""
--- a/dogwoodwheel/entry/datatypes.py
+++ b/dogwoodwheel/entry/datatypes.py
@@ -372,6 +372,8 @@
         Time for which an answer of the directory may be cached, seconds.
     link_mbps : float
         Bandwidth of the VM's network link, megabits a second; 0 if unknown.
+    memory_bytes : int
+        Size at which the platform kills the process; 0 if unknown.
     """
 
     name: str
@@ -393,3 +395,4 @@
     quota_slack: float = 0.0
     directory_ttl_s: float = 5.0
     link_mbps: float = 0.0
+    memory_bytes: int = 0
--- a/dogwoodwheel/entry/events.py
+++ b/dogwoodwheel/entry/events.py
@@ -55,6 +55,11 @@
         self._bytes_since_event = self._chunks_since_event = 0
         self.last_number, self.event_count = self._sent
 
+    @property
+    def buffered_bytes(self):
+        """Number of bytes of the incomplete event in the buffer."""
+        return len(self._buffer)
+
     @property
     def has_partial_event(self):
         """Whether the buffer holds the beginning of an incomplete event."""
--- a/dogwoodwheel/entry/serving.py
+++ b/dogwoodwheel/entry/serving.py
@@ -546,6 +546,7 @@
         events_before = splitter.event_count
         async for chunk in reply.iter_chunks(send_pending_events):
             pending_events += splitter.feed(chunk)
+            reply.hold(splitter.buffered_bytes)
             self.crash_guard.record_events(
                 splitter.event_count - events_before
             )
--- a/dogwoodwheel/platform/engine_client.py
+++ b/dogwoodwheel/platform/engine_client.py
@@ -17,6 +17,8 @@
 # have accepted before, so an engine that accepted it rejects the second copy.
 REPORT_TIMEOUT_S = 0.5
 ORDER_TIMEOUT_S = 0.15
+# Maximum size of a report; parsing one of this size takes some 10 ms.
+MAX_REPLY_BYTES = 512 * 1024
 OK = 200
 ACCEPTED = 202
 CONFLICT = 409
@@ -140,6 +142,7 @@
             endpoint.address,
             request,
             timeout_s,
+            max_bytes=MAX_REPLY_BYTES,
             on_reply=functools.partial(self._on_reply, endpoint),
         )
 
--- a/dogwoodwheel/platform/settings_file.py
+++ b/dogwoodwheel/platform/settings_file.py
@@ -15,6 +15,7 @@
 PEERS_PORT_OFFSET = 0
 METRICS_PORT_OFFSET = 1
 MS_PER_S = 1000.0
+BYTES_PER_MB = 1024 * 1024
 
 
 def path():
@@ -100,6 +101,7 @@
         quota_slack=_number(fields, "bounds.quotaSlack", 0),
         directory_ttl_s=_number(fields, "bounds.ttl_max_s", 5),
         link_mbps=_number(fields, "limits.linkMbps", 0),
+        memory_bytes=int(_number(fields, "limits.memoryMb", 0) * BYTES_PER_MB),
     )
 
 
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -11,6 +11,7 @@
 import trio
 
 from dogwoodwheel.engines import http
+from dogwoodwheel.engines import reply_memory
 from dogwoodwheel.engines import turns
 from dogwoodwheel.entry import app as app_module
 from dogwoodwheel.entry import components as components_module
@@ -36,6 +37,9 @@
 # timeout, and the server must not close it earlier.
 KEEP_ALIVE_TIMEOUT_FACTOR = 1.5
 INITIAL_KEEP_ALIVE_TIMEOUT_S = 30.0
+# Part of the memory of the process that replies of endpoints may take; each
+# is copied once as it is sent.
+REPLY_MEMORY_FRACTION = 0.25
 MAINTENANCE_INTERVAL_S = 1.0
 MAX_HEADER_BYTES = 64 * 1024
 LISTEN_BACKLOG = 512
@@ -125,12 +129,16 @@
         self.cfg = cfg
         self.metrics = metrics_module.Metrics()
         turn_limiter = turns.TurnLimiter()
-        http_client = http.HttpClient(turn_limiter)
+        memory = reply_memory.ReplyMemory(
+            int(REPLY_MEMORY_FRACTION * cfg.memory_bytes)
+            or reply_memory.MAX_BYTES
+        )
+        http_client = http.HttpClient(turn_limiter, memory)
         self.components = components_module.Components.from_settings(
             cfg, http_client, self.metrics
         )
         self.store = store_module.Store(
-            cfg.store, http.HttpClient(turn_limiter)
+            cfg.store, http.HttpClient(turn_limiter, memory)
         )
         self.member = membership.Member(
             self.components, self.store, uuid.uuid4().hex
--- a/features/entry_builders.py
+++ b/features/entry_builders.py
@@ -137,7 +137,7 @@
     return {**base, **fields}
 
 
-def config_body(version=1, **fields):
+def config_body(version=1, max_body_bytes=65536, **fields):
     """Return a configuration as the operator writes it."""
     base = {
         "version": version,
@@ -165,7 +165,7 @@
         ],
         "limits": {
             "maxHeaderBytes": 16384,
-            "maxBodyBytes": 65536,
+            "maxBodyBytes": max_body_bytes,
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000,
         },
--- a/features/entry_fleet.py
+++ b/features/entry_fleet.py
@@ -14,6 +14,8 @@
 __all__ = ["Answer", "EntryFleet", "KeptConnections"]
 
 TIMEOUT_S = 10.0
+# Size at which the platform kills a process.
+MEMORY_MB = 300
 KEY = "key-husk"
 
 
@@ -120,6 +122,7 @@
             ),
             "bootstrap": "true",
             "bounds.graceS": "5",
+            "limits.memoryMb": str(MEMORY_MB),
         }
         path = self.dir / f"{name}.conf"
         text = "".join(f"{key}={value}\n" for key, value in fields.items())
--- a/features/notice_builders.py
+++ b/features/notice_builders.py
@@ -3,6 +3,7 @@
 import h11
 
 from dogwoodwheel.engines import http
+from dogwoodwheel.engines import reply_memory
 from dogwoodwheel.entry import components as components_module
 from dogwoodwheel.entry import endpoint_selection
 from dogwoodwheel.platform import http_headers
@@ -27,7 +28,8 @@
 def reply(status=200, **headers):
     """Return a reply of an endpoint; names have underscores for hyphens."""
     raw = [(name.replace("_", "-"), value) for name, value in headers.items()]
-    return http.Reply(None, h11.Response(status_code=status, headers=raw))
+    head = h11.Response(status_code=status, headers=raw)
+    return http.Reply(None, head, "GET", reply_memory.ReplyMemory())
 
 
 def components(name="entry-1"):
--- a/features/standins/endless.py
+++ b/features/standins/endless.py
@@ -19,8 +19,10 @@
     return chunk * (WRITE_BYTES // len(chunk))
 
 
-# What is sent first, and then again and again.
+# What is sent first, and then again and again; nothing more if that is empty.
 FAULTS = {
+    "held_body": (OK + PLAIN + 120 * chunks(0x7000 * b"x"), b""),
+    "held_event": (OK + STREAM + 33 * chunks(0x7000 * b"x"), b""),
     "endless_head": (OK, b"X-Fill: " + 1000 * b"x" + b"\r\n"),
     "endless_interim": (b"", 20 * b"HTTP/1.1 100 Continue\r\n\r\n"),
     "endless_body": (OK + PLAIN, chunks(0x7000 * b"x")),
@@ -48,5 +50,6 @@
     start, piece = FAULTS[fault]
     await exchange.raw(start.replace(b"(headers)", lines.encode()))
     with contextlib.suppress(trio.BrokenResourceError):
-        while True:
+        while piece:
             await exchange.raw(piece)
+        await trio.sleep_forever()
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -158,6 +158,9 @@
         """Return an empty header."""
         return b""
 
+    def hold(self, size):
+        """Count nothing."""
+
     async def iter_chunks(self, before_wait):
         """Yield the events."""
         yield b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
--- a/features/steps/odd_rows_steps.py
+++ b/features/steps/odd_rows_steps.py
@@ -42,7 +42,7 @@
     def __init__(self, body):
         self.body = body
 
-    async def call(self, address, req, timeout_s, on_reply):
+    async def call(self, address, req, timeout_s, max_bytes, on_reply):
         return 200, self.body
 
 
