Bound the memory and time that callers' bodies take

What callers saw: 100 callers that send 3.9 of 4 MB and stop are held without bound of time, and their bodies take some 400 MB; the platform kills a process at 300 MB. Bodies in chunks of a few bytes were kept as a list, at over 20 times their size.

Cause: bodies were bounded each, not together, and had no time in which they must arrive.

--- a/dogwoodwheel/entry/app.py
+++ b/dogwoodwheel/entry/app.py
@@ -7,6 +7,7 @@
 import trio
 
 from dogwoodwheel.entry import admission
+from dogwoodwheel.entry import body_reader
 from dogwoodwheel.entry import serving
 from dogwoodwheel import exceptions
 from dogwoodwheel.platform import directory
@@ -23,6 +24,8 @@
 CANCELLED = "cancelled"
 INTERNAL_ERROR = "internal_error"
 
+# Part of the memory of the process that bodies of requests may take.
+BODY_MEMORY_FRACTION = 0.15
 JSON_CONTENT_TYPE = "application/json"
 
 
@@ -47,6 +50,12 @@
         self.is_leaving = is_leaving
         self.running_requests = 0
         self._stop_deadline = math.inf
+        memory_bytes = components.settings.memory_bytes
+        self._body_reader = (
+            body_reader.BodyReader(int(BODY_MEMORY_FRACTION * memory_bytes))
+            if memory_bytes
+            else body_reader.BodyReader()
+        )
         self._deadline_scopes = set()
 
     def end_requests_at(self, stop_deadline):
@@ -80,15 +89,20 @@
         # Remains if the server of callers cancels the request.
         cause, why = CANCELLED, ""
         try:
-            body = await _read_body(self.components, headers_by_name, receive)
-            if body is None:
-                cause = CALLER_DISCONNECTED
-                return
-            incoming_request = _incoming_request(scope, body, received_at)
-            admitted_request = admission.admit(
-                self.components, incoming_request
-            )
-            await self._serve_until_disconnect(admitted_request, caller)
+            cfg = self.components.fleet_state.config
+            async with self._body_reader.read(
+                receive,
+                cfg.limits.body_bytes if cfg else None,
+                int(headers_by_name.get(b"content-length", b"0")),
+            ) as body:
+                if body is None:
+                    cause = CALLER_DISCONNECTED
+                    return
+                incoming_request = _incoming_request(scope, body, received_at)
+                admitted_request = admission.admit(
+                    self.components, incoming_request
+                )
+                await self._serve_until_disconnect(admitted_request, caller)
             cause = CALLER_DISCONNECTED
         except exceptions.RefusedError as exc:
             await self._refuse(exc.refusal, caller, request_id, received_at)
@@ -229,30 +243,3 @@
         body=body,
         received_at=received_at,
     )
-
-
-async def _read_body(components, headers_by_name, receive):
-    """Return the body of a request, or None if the caller disconnected."""
-    config = components.fleet_state.config
-    max_body_bytes = config.limits.body_bytes if config else 0
-    content_length = headers_by_name.get(b"content-length", b"0")
-    chunks = []
-    received_bytes = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            return None
-        chunks.append(message["body"])
-        received_bytes += len(message["body"])
-        if config and (
-            received_bytes > max_body_bytes
-            or int(content_length) > max_body_bytes
-        ):
-            raise refusals.refused(
-                "body_too_large",
-                f"a body is bounded by {max_body_bytes} bytes; "
-                f"send a shorter one",
-                413,
-            )
-        if not message["more_body"]:
-            return b"".join(chunks)
