Give up calls that a silent outage of the store has left hanging

Cause: a long poll sent in the last moments of the outage was lost without a reset, and waited for until its own timeout, though other calls of the process had been answered since. All entries polled in step, so no peer knew more. Evidence: 'store: available again' of another task 3.6 s before 'operator: configuration'; no poll between. Ruled out: the change, the heartbeats, the store's history.

Fix: Store knows its calls in flight. Once it answers a call that was sent after one without a reply, or after 1.5 s without any, earlier calls have 0.5 s left. A peer's scan counts as a reply. Long polls of a large fleet no longer have one length.

--- a/dogwoodwheel/entry/watchers.py
+++ b/dogwoodwheel/entry/watchers.py
@@ -1,5 +1,7 @@
 """Watches the configuration and the endpoints in the platform's store."""
 
+import random
+
 from loguru import logger
 import trio
 
@@ -20,6 +22,7 @@
 # Maximum duration of the long poll in a large fleet, where the heartbeats of
 # many peers show whether the table has newer rows.
 LARGE_FLEET_LONG_POLL_TIMEOUT_S = 15.0
+LONG_POLL_JITTER = 0.25
 # This entry scans the operator's table again once peers have known a newer
 # row for this time, which is twice the time that the reply to a long poll
 # and a heartbeat need.
@@ -91,6 +94,7 @@
             store_module.Row(registrations.TABLE, *row) for row in msg.rows
         ]
         scan_began_at = trio.current_time() - msg.age_s
+        self._store.observe_reply(scan_began_at)
         if self._apply_scan(rows, msg.version, scan_began_at):
             self._scan_received.set()
 
@@ -175,6 +179,7 @@
     pause_s = MIN_RETRY_PAUSE_S
     store_failed = False
     while True:
+        step_began_at = trio.current_time()
         try:
             await step()
             if store_failed:
@@ -190,6 +195,9 @@
                     why=str(exc),
                 )
             store_failed = True
+            if store.last_reply_at > step_began_at:
+                # Only this call has failed.
+                pause_s = MIN_RETRY_PAUSE_S
             await trio.sleep(pause_s)
             pause_s = min(MAX_RETRY_PAUSE_S, 2 * pause_s)
 
@@ -290,11 +298,12 @@
 
     async def _poll_changes(self):
         """Return changed rows, or None if `compare_with_peers` cancels."""
-        timeout_s = (
-            LARGE_FLEET_LONG_POLL_TIMEOUT_S
-            if self.heartbeats.is_large_fleet
-            else LONG_POLL_TIMEOUT_S
-        )
+        timeout_s = LONG_POLL_TIMEOUT_S
+        if self.heartbeats.is_large_fleet:
+            # Polls that one change has ended must not all be lost together.
+            timeout_s = LARGE_FLEET_LONG_POLL_TIMEOUT_S * random.uniform(
+                1 - LONG_POLL_JITTER, 1 + LONG_POLL_JITTER
+            )
         if self.unconfirmed_zones:
             timeout_s = REWRITE_S
         with trio.CancelScope() as self._poll_scope:
--- a/dogwoodwheel/platform/store.py
+++ b/dogwoodwheel/platform/store.py
@@ -36,6 +36,11 @@
 # Maximum size of a reply of the store.  The largest ones hold an object, whose
 # size the platform limits to 8 MiB.
 MAX_REPLY_BYTES = 16 * 1024 * 1024
+# A store from which no reply is known for this time has been silent.  Entries
+# scan it, or get a peer's scan, more often.
+SILENCE_S = 1.5
+# Time for which calls from before the end of a silence may still be answered.
+RECOVERY_GRACE_S = 0.5
 # Upper limit of the reported age of the last reply.  Also reported before the
 # first reply.
 MAX_REPLY_AGE_S = 1e6
@@ -83,6 +88,14 @@
     version: int
 
 
+class _Call:
+    """A call that has not returned."""
+
+    def __init__(self):
+        self.sent_at = trio.current_time()
+        self.scope = trio.CancelScope()
+
+
 class Store:
     """Client of the platform's store.
 
@@ -103,6 +116,13 @@
         restored.  0 if unknown.
     hinted_era : int
         Latest era that a peer has named.
+
+    Notes
+    -----
+    Workload: an outage in which calls are lost without a reset.  A long
+    poll that was sent in its last moments is never answered, and what it
+    waits for stays unknown until its timeout.  Once the store has answered a
+    later call, calls from before are given up after `RECOVERY_GRACE_S`.
     """
 
     def __init__(self, address, http_client):
@@ -113,12 +133,40 @@
         self.hinted_era = 0
         self._http_client = http_client
         self._era_risen = trio.Event()
+        self._calls = set()
+        # Time of the last reply to this entry or a peer, and the time at
+        # which the last call was sent that got no reply.
+        self._known_reply_at = -math.inf
+        self._unanswered_at = -math.inf
 
     @property
     def reply_age_s(self):
         """Seconds since the last reply of the store."""
         return min(trio.current_time() - self.last_reply_at, MAX_REPLY_AGE_S)
 
+    def observe_reply(self, sent_at):
+        """Record that the store has answered a call of this entry or a peer.
+
+        Parameters
+        ----------
+        sent_at : float
+            Time at which the call was sent, by trio's clock.
+        """
+        now = trio.current_time()
+        was_silent = (
+            sent_at > self._unanswered_at > -math.inf
+            or SILENCE_S < now - self._known_reply_at < math.inf
+        )
+        self._known_reply_at = now
+        if not was_silent:
+            return
+        self._unanswered_at = -math.inf
+        for call in self._calls:
+            if call.sent_at < sent_at:
+                call.scope.deadline = min(
+                    call.scope.deadline, now + RECOVERY_GRACE_S
+                )
+
     def observe_era(self, era):
         """Record the era in which the store has replied."""
         if era <= self.era:
@@ -358,24 +406,42 @@
         self.call_count += 1
         eras = []
         request = http.Request("", method, target, REQUEST_HEADERS, body)
+        call = _Call()
+        self._calls.add(call)
         try:
-            status, data = await self._http_client.call(
-                self.address,
-                request,
-                timeout_s,
-                MAX_REPLY_BYTES,
-                on_reply=lambda reply: eras.append(_parse_era(reply)),
-            )
+            with call.scope:
+                status, data = await self._http_client.call(
+                    self.address,
+                    request,
+                    timeout_s,
+                    MAX_REPLY_BYTES,
+                    on_reply=lambda reply: eras.append(_parse_era(reply)),
+                )
         except exceptions.NotSentError as exc:
+            self._unanswered_at = max(self._unanswered_at, call.sent_at)
             raise exceptions.PlatformError(
                 f"cannot connect to the store at {self.address}; "
                 f"check that it is running"
             ) from exc
         except exceptions.ReplyError as exc:
+            self._unanswered_at = max(self._unanswered_at, call.sent_at)
             raise exceptions.OutcomeUnknownError(
                 "the store did not reply; after a write, read the row again "
                 "to learn the outcome"
             ) from exc
+        finally:
+            self._calls.discard(call)
+        if call.scope.cancelled_caught:
+            logger.info(
+                "store: lost call given up",
+                target=target[:40].decode(),
+                waited_s=round(trio.current_time() - call.sent_at, 1),
+            )
+            raise exceptions.OutcomeUnknownError(
+                "the store has answered later calls but not this one; after "
+                "a write, read the row again to learn the outcome"
+            )
+        self.observe_reply(call.sent_at)
         (era,) = eras
         self.observe_era(era)
         if era < self.era and status in (OK, CONFLICT, COMPACTED):
--- a/features/standins/outage.py
+++ b/features/standins/outage.py
@@ -9,7 +9,7 @@
 OBJECTS = "objects"
 VMS = "vms"
 SERVICES = (TABLE, OBJECTS, VMS)
-MODES = ("off", "refuse", "hang", "lose", "late")
+MODES = ("off", "refuse", "hang", "mute", "lose", "late")
 
 
 @dataclasses.dataclass
@@ -20,9 +20,9 @@
     ----------
     mode : str
         ``refuse`` replies 503; ``hang`` holds calls until the outage
-        ends, then drops them; ``lose`` takes a write and resets the
-        connection; ``late`` takes a write after ``delay_s``, also when
-        the client has gone.
+        ends, then drops them; ``mute`` never answers them; ``lose``
+        takes a write and resets the connection; ``late`` takes a write
+        after ``delay_s``, also when the client has gone.
     services : sequence of str
     count : int
         Calls that fail before the outage ends by itself.
--- a/features/standins/platform.py
+++ b/features/standins/platform.py
@@ -163,6 +163,8 @@
             await self.ended.wait()
             exchange.cut()
             return
+        if mode == "mute":
+            await trio.sleep_forever()
         if mode == "late":
             self.nursery.start_soon(
                 self._late, exchange, name, fields, self.outage.delay_s
--- a/features/steps/entry_fleets_steps.py
+++ b/features/steps/entry_fleets_steps.py
@@ -70,6 +70,9 @@
     def hint_era(self, era):
         """Do nothing, as this store is never restored."""
 
+    def observe_reply(self, sent_at):
+        """Do nothing, as calls that hang are given up by `Store` only."""
+
     async def scan(self, table, timeout_s=1.0):
         if table == registrations.TABLE:
             self.store.scans.append((trio.current_time(), self.name))
