Soak entries with answers without end, mute outages and a memory bound

Five endless answers and outages that lose calls without a reset are among the random failures; no entry may have used more memory than the platform allows.

--- a/features/chaos/entries.py
+++ b/features/chaos/entries.py
@@ -63,7 +63,7 @@
 # Failures that overlap, and how often each is repeated in series.
 AT_ONCE = 2
 SERIES = (1, 1, 1, 3)
-STORE_FAULTS = ("refuse", "hang", "lose")
+STORE_FAULTS = ("refuse", "hang", "mute", "lose")
 # Age of the copy from which the store is restored, and time until what was
 # lost is written again.
 COPY_AGE_S = (0.5, 9.0)
@@ -79,6 +79,11 @@
     "unsigned",
     "surplus",
     "break",
+    "endless_body",
+    "endless_comments",
+    "endless_event",
+    "endless_tiny",
+    "held_body",
 )
 # What callers send: path, method, what may be repeated.
 KINDS = (
@@ -484,7 +489,7 @@
         What the operator and the workers wrote is written again.
         """
         with self._locks["store"], self._locks["config"]:
-            self.fleet.store.call("outage", mode=rng.choice(STORE_FAULTS[:2]))
+            self.fleet.store.call("outage", mode=rng.choice(STORE_FAULTS[:3]))
             self._last(rng)
             self.fleet.store.call("restore", age_s=rng.uniform(*COPY_AGE_S))
             self.fleet.store.call("outage", mode="off")
--- a/features/chaos/entry_checks.py
+++ b/features/chaos/entry_checks.py
@@ -2,6 +2,8 @@
 
 import collections
 
+from features import entry_fleet
+
 __all__ = ["CONTACT_S", "DRAIN_S", "EVACUATE_S", "check"]
 
 OK = 200
@@ -69,12 +71,22 @@
         lambda: _closed(run, workers),
         lambda: _limits(run, workers),
         lambda: _ended(run),
+        lambda: _memory(run),
         lambda: _served(run),
     ):
         found += one()
     return found
 
 
+def _memory(run):
+    """Check that no entry that runs has grown beyond its limit."""
+    for name, (proc, _) in run.fleet.entries.items():
+        if proc.running():
+            used_mb = proc.peak_memory_mb()
+            if used_mb > entry_fleet.MEMORY_MB:
+                yield f"{name} has used {used_mb:.0f} MB"
+
+
 def _runs(run, workers):
     """Check what ran: asked for, as sent, and not more than once."""
     sent = {one.id: one for one in run.sent}
