--- a/dogwoodwheel/engines/connections.py
+++ b/dogwoodwheel/engines/connections.py
@@ -63,7 +63,7 @@
         ``IP:PORT``.
     stream : trio.SocketStream
     turn_limiter : dogwoodwheel.engines.turns.TurnLimiter
-        Shared by all connections of a process.
+        Shared by all connections of a client.
 
     Attributes
     ----------
@@ -108,7 +108,7 @@
         timeout_s : float
             Maximum time for opening the connection, seconds.
         turn_limiter : dogwoodwheel.engines.turns.TurnLimiter
-            Shared by all connections of a process.
+            Shared by all connections of a client.
 
         Returns
         -------
--- a/dogwoodwheel/engines/http.py
+++ b/dogwoodwheel/engines/http.py
@@ -188,6 +188,7 @@
                     f"a reply is longer than {max_bytes} bytes; look at the "
                     f"log of the server"
                 )
+        self._memory.complete(self._conn)
         return bytes(body)
 
 
@@ -196,10 +197,7 @@
 
     Parameters
     ----------
-    turn_limiter : dogwoodwheel.engines.turns.TurnLimiter, optional
-        Shared by all clients of a process.
     memory : dogwoodwheel.engines.reply_memory.ReplyMemory, optional
-        Shared by all clients of a process.
 
     Attributes
     ----------
@@ -207,9 +205,9 @@
         Number of connections opened so far.
     """
 
-    def __init__(self, turn_limiter=None, memory=None):
+    def __init__(self, memory=None):
         self.opened_connections = 0
-        self._turn_limiter = turn_limiter or turns.TurnLimiter()
+        self._turn_limiter = turns.TurnLimiter()
         self._memory = memory or reply_memory.ReplyMemory()
         self._idle_connections = {}
         self._addresses_returning_ids = set()
--- a/dogwoodwheel/engines/reply_memory.py
+++ b/dogwoodwheel/engines/reply_memory.py
@@ -26,14 +26,15 @@
 
     Notes
     -----
-    If there is no room, the endpoint whose replies take the most loses
-    the largest of them.  Other endpoints keep theirs, and no request
-    waits for room.
+    If there is no room, the endpoint whose incomplete replies take the
+    most loses the largest of them.  Complete ones are kept, as closing
+    their connections frees nothing.  No request waits for room.
     """
 
     def __init__(self, max_bytes=MAX_BYTES):
         self._max_bytes = max_bytes
         self._sizes = {}
+        self._complete = set()
         self._total_bytes = 0
 
     def resize(self, conn, size):
@@ -48,20 +49,31 @@
         """
         if size < MIN_COUNTED_BYTES:
             size = 0
+        self._complete.discard(conn)
         before = self._sizes.pop(conn, 0)
         if size:
             self._sizes[conn] = size
         self._total_bytes += size - before
         while self._total_bytes > self._max_bytes:
-            self._abort_largest()
+            incomplete = self._sizes.keys() - self._complete
+            if not incomplete:
+                break
+            self._abort_largest(incomplete)
 
-    def _abort_largest(self):
+    def complete(self, conn):
+        """Note that a reply has been read to its end."""
+        if conn in self._sizes:
+            self._complete.add(conn)
+
+    def _abort_largest(self, conns):
         sizes_by_address = collections.Counter()
-        for conn, size in self._sizes.items():
-            sizes_by_address[conn.address] += size
+        for conn in conns:
+            sizes_by_address[conn.address] += self._sizes[conn]
         ((address, _),) = sizes_by_address.most_common(1)
-        conns = [conn for conn in self._sizes if conn.address == address]
-        largest = max(conns, key=self._sizes.get)
+        largest = max(
+            (conn for conn in conns if conn.address == address),
+            key=self._sizes.get,
+        )
         self._total_bytes -= self._sizes.pop(largest)
         largest.abort(
             f"replies of this process take over {self._max_bytes} bytes, "
--- a/dogwoodwheel/engines/turns.py
+++ b/dogwoodwheel/engines/turns.py
@@ -26,8 +26,9 @@
 BUSY_S = 0.05
 # Processor time for receiving bytes, before they are parsed.
 RECEIVE_WORK_S = 0.0001
-# A consumer of chunks that takes longer has waited for something else.
-MAX_CONSUMER_STEP_S = 0.05
+# A step that takes longer is one in which the process did not run, or in which
+# the consumer of a chunk waited.
+MAX_STEP_S = 0.05
 
 
 class TurnLimiter:
@@ -88,7 +89,7 @@
         now = time.perf_counter()
         elapsed_s = now - self._last_at
         self._last_at = now
-        if elapsed_s < MAX_CONSUMER_STEP_S:
+        if elapsed_s < MAX_STEP_S:
             self.charge(elapsed_s)
 
     def end_step(self):
@@ -96,7 +97,7 @@
         now = time.perf_counter()
         elapsed_s = now - self._last_at
         self._last_at = now
-        self.charge(elapsed_s)
+        self.charge(min(elapsed_s, MAX_STEP_S))
 
     def charge(self, used_s):
         """Add processor time that was used for the connection, seconds."""
--- a/dogwoodwheel/programs/entry.py
+++ b/dogwoodwheel/programs/entry.py
@@ -12,7 +12,6 @@
 
 from dogwoodwheel.engines import http
 from dogwoodwheel.engines import reply_memory
-from dogwoodwheel.engines import turns
 from dogwoodwheel.entry import app as app_module
 from dogwoodwheel.entry import components as components_module
 from dogwoodwheel.entry import leader as leader_module
@@ -128,18 +127,15 @@
     def __init__(self, cfg):
         self.cfg = cfg
         self.metrics = metrics_module.Metrics()
-        turn_limiter = turns.TurnLimiter()
         memory = reply_memory.ReplyMemory(
             int(REPLY_MEMORY_FRACTION * cfg.memory_bytes)
             or reply_memory.MAX_BYTES
         )
-        http_client = http.HttpClient(turn_limiter, memory)
+        http_client = http.HttpClient(memory)
         self.components = components_module.Components.from_settings(
             cfg, http_client, self.metrics
         )
-        self.store = store_module.Store(
-            cfg.store, http.HttpClient(turn_limiter, memory)
-        )
+        self.store = store_module.Store(cfg.store, http.HttpClient())
         self.member = membership.Member(
             self.components, self.store, uuid.uuid4().hex
         )
--- a/features/memory.feature
+++ b/features/memory.feature
@@ -22,6 +22,11 @@
     When a reply of 4000 kB comes from another endpoint
     Then it is whole, and replies of the first endpoint are broken off
 
+  Scenario: Complete answers that callers do not read are kept
+    Given replies of 1000 kB that one endpoint has ended 60 times
+    When a reply of 8000 kB comes from another endpoint
+    Then it is broken off, and none of the first endpoint's
+
   Scenario: Many callers send large bodies and stop before the end
     Given a store, the workers "e1 e2" with the model "m0" and "p1 p2"
     And bodies of 4000 kB are allowed
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -101,6 +101,19 @@
         context.memory.resize(conn, size * KB)
 
 
+@given("replies of {size:d} kB that one endpoint has ended {count:d} times")
+def step_ended(context, size, count):
+    step_begun(context, size, count)
+    for conn in context.first:
+        context.memory.complete(conn)
+
+
+@then("it is broken off, and none of the first endpoint's")
+def step_only_other(context):
+    assert context.other.cause is not None
+    assert not [conn for conn in context.first if conn.cause]
+
+
 @when("a reply of {size:d} kB comes from another endpoint")
 def step_reply(context, size):
     context.other = Conn("127.0.0.1:2")
