--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -177,7 +177,7 @@
         return int(sock.recv(100).split()[1])
     except BlockingIOError:
         return 0
-    except OSError:
+    except ConnectionResetError:
         # The rest of the body met a closed connection.
         return UNAVAILABLE
 
